--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# make demo    installs what is needed, builds, and runs the main job on
+#              stand-ins.
+# make check   installs, builds with warnings as errors, checks format and
+#              lint, and runs all tests, also under the sanitizers.
+# make bench   what the path adds over a direct call; see docs/BENCHMARKS.md.
+
+PACKAGES = gcc cmake ninja-build pkg-config clang-format clang-tidy curl \
+	libglib2.0-dev libmicrohttpd-dev libneon27-dev libmsgpack-dev \
+	liburcu-dev libargtable2-dev libjansson-dev libxxhash-dev
+JOBS ?= $(shell nproc)
+SOURCES = $(wildcard core/*.[ch] io/*.[ch] entry/*.[ch] agent/*.[ch] \
+	operator/*.[ch] tests/*.[ch] tests/unit/*.[ch] tests/fakes/*.[ch] bench/*.[ch])
+
+.PHONY: all install demo check format lint test bench clean
+
+all: build/build.ninja
+	ninja -C build -j $(JOBS)
+
+install:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+		{ apt-get update -qq && apt-get install -y -qq $(PACKAGES); }
+
+build/build.ninja:
+	cmake -S . -B build -G Ninja >/dev/null
+
+demo: install all
+	BIN=$(CURDIR)/build bash tests/demo.sh
+
+format:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: all
+	printf '%s\n' $(filter %.c,$(SOURCES)) | \
+		xargs -P $(JOBS) -n 2 clang-tidy -p build --quiet
+
+check: install all
+	bash tests/check.sh
+
+bench: install all
+	BIN=$(CURDIR)/build bash bench/bench.sh
+
+clean:
+	rm -rf build build-asan build-tsan
--- /dev/null
+++ b/agent/endpoint_calls.c
@@ -0,0 +1,404 @@
+#include "agent/endpoint_calls.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "core/dispatch.h"
+#include "io/http_call.h"
+#include "io/log.h"
+#include "io/loop.h"
+#include "io/worker_pool.h"
+
+#define LOG_PART "endpoint"
+
+enum {
+    MAX_CALL_THREADS = 1024,
+    MAX_STOP_THREADS = 8,
+    /* Answer bytes that may be on their way to the entry. */
+    WINDOW_BYTES = 256 * 1024,
+    /* Answers to calls that can't be repeated are kept whole. */
+    MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024,
+    CONNECT_S = 2,
+    MS_PER_S = 1000,
+    STOP_TRIES = 50,
+    STOP_PAUSE_US = 100 * 1000,
+    ID_BYTES = 64,
+    TAIL_BYTES = 64,
+};
+
+static const char stream_end[] = "data: [DONE]";
+
+struct endpoint_calls {
+    struct loop *loop;
+    char *ip;
+    uint16_t port;
+    struct endpoint_calls_handlers handlers;
+    void *data;
+    struct worker_pool *call_pool;
+    struct worker_pool *stop_pool;
+    pthread_mutex_t lock;
+    GQueue idle; /* struct http_session with a kept connection; by lock */
+};
+
+/* Shared by the loop thread, the call's thread and a stop; counted. */
+struct call {
+    struct endpoint_calls *calls;
+    struct work *work; /* valid until finished is reported */
+    char id[ID_BYTES];
+    bool is_prompt;
+    bool repeatable;
+    uint64_t priority;
+    uint32_t read_s;
+    const char *method;
+    const char *path;
+    const char *content_type;
+    const uint8_t *body;
+    size_t body_bytes;
+    _Atomic bool stopped;
+    _Atomic bool ended;
+
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    uint64_t produced_bytes;  /* by lock */
+    uint64_t confirmed_bytes; /* by lock */
+
+    bool is_event_stream;
+    char tail[TAIL_BYTES]; /* the last bytes of an event stream */
+    size_t tail_bytes;
+};
+
+enum event_kind {
+    EVENT_HEAD,
+    EVENT_BYTES,
+    EVENT_FINISHED
+};
+
+struct event {
+    enum event_kind kind;
+    struct call *call;
+    uint32_t status;
+    char *content_type;
+    uint8_t *bytes;
+    size_t count;
+    enum outcome outcome;
+    enum reason reason;
+};
+
+struct endpoint_calls *
+endpoint_calls_create(struct loop *loop, const char *ip, uint16_t port,
+                      const struct endpoint_calls_handlers *handlers,
+                      void *data)
+{
+    struct endpoint_calls *calls = g_new0(struct endpoint_calls, 1);
+
+    calls->loop = loop;
+    calls->ip = g_strdup(ip);
+    calls->port = port;
+    calls->handlers = *handlers;
+    calls->data = data;
+    calls->call_pool = worker_pool_create(MAX_CALL_THREADS);
+    calls->stop_pool = worker_pool_create(MAX_STOP_THREADS);
+    pthread_mutex_init(&calls->lock, NULL);
+    g_queue_init(&calls->idle);
+    return calls;
+}
+
+static void
+call_clear(gpointer data)
+{
+    struct call *call = data;
+
+    pthread_mutex_destroy(&call->lock);
+    pthread_cond_destroy(&call->changed);
+}
+
+static void
+call_release(struct call *call)
+{
+    g_atomic_rc_box_release_full(call, call_clear);
+}
+
+static void
+deliver_event(void *data, uint64_t now_ms)
+{
+    struct event *event = data;
+    struct call *call = event->call;
+    struct endpoint_calls *calls = call->calls;
+
+    switch (event->kind) {
+    case EVENT_HEAD:
+        calls->handlers.head(calls->data, call->work, event->status,
+                             event->content_type);
+        break;
+    case EVENT_BYTES:
+        calls->handlers.bytes(calls->data, call->work, event->bytes,
+                              event->count, now_ms);
+        break;
+    case EVENT_FINISHED:
+        work_set_job(call->work, NULL);
+        calls->handlers.finished(calls->data, call->work, event->outcome,
+                                 event->reason, now_ms);
+        call_release(call);
+        break;
+    }
+    g_free(event->content_type);
+    g_free(event->bytes);
+    g_free(event);
+}
+
+static void
+post_event(struct call *call, struct event event)
+{
+    struct event *copy = g_memdup2(&event, sizeof(event));
+
+    copy->call = call;
+    loop_post(call->calls->loop, deliver_event, copy);
+}
+
+static bool
+on_head(void *context, uint32_t status, const char *content_type)
+{
+    struct call *call = context;
+
+    call->is_event_stream =
+        g_str_has_prefix(content_type, "text/event-stream");
+    post_event(call, (struct event){.kind = EVENT_HEAD,
+                                    .status = status,
+                                    .content_type = g_strdup(content_type)});
+    return !atomic_load(&call->stopped);
+}
+
+static void
+note_tail(struct call *call, const char *bytes, size_t count)
+{
+    size_t kept;
+
+    if (count >= TAIL_BYTES) {
+        memcpy(call->tail, bytes + count - TAIL_BYTES, TAIL_BYTES);
+        call->tail_bytes = TAIL_BYTES;
+        return;
+    }
+    kept = MIN(call->tail_bytes, TAIL_BYTES - count);
+    memmove(call->tail, call->tail + call->tail_bytes - kept, kept);
+    memcpy(call->tail + kept, bytes, count);
+    call->tail_bytes = kept + count;
+}
+
+static bool
+wait_for_window(struct call *call, size_t count)
+{
+    uint64_t window = call->repeatable ? WINDOW_BYTES : MAX_KEPT_ANSWER_BYTES;
+
+    pthread_mutex_lock(&call->lock);
+    call->produced_bytes += count;
+    while (call->produced_bytes - call->confirmed_bytes > window &&
+           !atomic_load(&call->stopped)) {
+        pthread_cond_wait(&call->changed, &call->lock);
+    }
+    pthread_mutex_unlock(&call->lock);
+    return !atomic_load(&call->stopped);
+}
+
+static bool
+on_data(void *context, const char *bytes, size_t count)
+{
+    struct call *call = context;
+
+    if (call->is_event_stream) {
+        note_tail(call, bytes, count);
+    }
+    post_event(call, (struct event){.kind = EVENT_BYTES,
+                                    .bytes = g_memdup2(bytes, count),
+                                    .count = count});
+    return wait_for_window(call, count);
+}
+
+/* An event stream says itself when it is whole. */
+static bool
+is_truncated(const struct call *call)
+{
+    return call->is_event_stream &&
+           g_strstr_len(call->tail, (gssize)call->tail_bytes, stream_end) ==
+               NULL;
+}
+
+static struct http_session *
+take_session(struct endpoint_calls *calls, bool reuse)
+{
+    struct http_session *session = NULL;
+
+    if (reuse) {
+        pthread_mutex_lock(&calls->lock);
+        session = g_queue_pop_tail(&calls->idle);
+        pthread_mutex_unlock(&calls->lock);
+    }
+    if (session == NULL) {
+        session = http_session_create(calls->ip, calls->port, reuse);
+    }
+    return session;
+}
+
+static void
+give_session_back(struct endpoint_calls *calls, struct http_session *session,
+                  bool reuse)
+{
+    if (!reuse) {
+        http_session_destroy(session);
+        return;
+    }
+    pthread_mutex_lock(&calls->lock);
+    g_queue_push_tail(&calls->idle, session);
+    pthread_mutex_unlock(&calls->lock);
+}
+
+static struct event
+judge(const struct call *call, bool ok, const GError *error)
+{
+    struct event event = {.kind = EVENT_FINISHED, .outcome = OUTCOME_RAN};
+
+    if (ok) {
+        event.reason =
+            is_truncated(call) ? REASON_ENDPOINT_FAILED : REASON_NONE;
+        return event;
+    }
+    event.reason = REASON_ENDPOINT_FAILED;
+    if (error->code == HTTP_ERROR_NOT_SENT) {
+        event.outcome = OUTCOME_NOT_RUN;
+    }
+    else if (!call->repeatable) {
+        event.outcome = OUTCOME_UNKNOWN;
+    }
+    return event;
+}
+
+static void
+run_call(void *data)
+{
+    static const struct http_answer_handlers handlers = {on_head, on_data};
+    struct call *call = data;
+    struct endpoint_calls *calls = call->calls;
+    char priority[ID_BYTES];
+    struct http_header headers[] = {{"X-Request-Id", call->id},
+                                    {"X-Priority", priority}};
+    struct http_request request = {
+        .method = call->method,
+        .path = call->path,
+        .content_type = call->content_type,
+        .headers = headers,
+        .header_count = G_N_ELEMENTS(headers),
+        .body = call->body,
+        .body_bytes = call->body_bytes,
+    };
+    struct http_session *session = take_session(calls, call->repeatable);
+    GError *error = NULL;
+    bool ok;
+
+    snprintf(priority, sizeof(priority), "%" PRIu64, call->priority);
+    http_session_set_timeouts(session, CONNECT_S, call->read_s);
+    ok = http_stream(session, &request, &handlers, call, &error);
+    if (!ok && !atomic_load(&call->stopped)) {
+        LOG_WARN("a call failed", "request=%s error=\"%s\"", call->id,
+                 error->message);
+    }
+    give_session_back(calls, session, call->repeatable);
+    atomic_store(&call->ended, true);
+    post_event(call, judge(call, ok, error));
+    g_clear_error(&error);
+}
+
+static struct call *
+create_call(struct endpoint_calls *calls, struct work *work, uint64_t now_ms)
+{
+    struct call *call = g_atomic_rc_box_new0(struct call);
+    struct request_id id = work_id(work);
+    uint64_t left_ms =
+        work_deadline_ms(work) - MIN(now_ms, work_deadline_ms(work));
+
+    call->calls = calls;
+    call->work = work;
+    snprintf(call->id, sizeof(call->id), "%016" PRIx64 "-%" PRIu64 "-%u",
+             id.incarnation, id.counter, work_attempt(work));
+    call->is_prompt = work_class_of(work) == WORK_PROMPT;
+    call->repeatable = work_repeatable(work);
+    call->priority = work_priority(work);
+    call->read_s = (uint32_t)(left_ms / MS_PER_S + 1);
+    call->method = work_method(work);
+    call->path = work_path(work);
+    call->content_type = work_content_type(work);
+    call->body = work_body(work, &call->body_bytes);
+    pthread_mutex_init(&call->lock, NULL);
+    pthread_cond_init(&call->changed, NULL);
+    return call;
+}
+
+void
+endpoint_calls_start(struct endpoint_calls *calls, struct work *work,
+                     uint64_t now_ms)
+{
+    struct call *call = create_call(calls, work, now_ms);
+
+    work_set_job(work, call);
+    worker_pool_run(calls->call_pool, run_call, call);
+}
+
+/* The engine frees a stream's memory when it is told to, not when a
+   connection closes; so this goes on until the call has ended. */
+static void
+run_stop(void *data)
+{
+    struct call *call = data;
+    char *path = g_strdup_printf("/v1/streams/%s", call->id);
+    struct http_request request = {.method = "DELETE", .path = path};
+    struct http_session *session =
+        http_session_create(call->calls->ip, call->calls->port, false);
+
+    http_session_set_timeouts(session, CONNECT_S, CONNECT_S);
+    for (int i = 0; i < STOP_TRIES && !atomic_load(&call->ended); i++) {
+        http_fetch(session, &request, NULL, WINDOW_BYTES, NULL);
+        usleep(STOP_PAUSE_US);
+    }
+    if (!atomic_load(&call->ended)) {
+        LOG_ERR("the engine does not stop", "request=%s", call->id);
+    }
+    http_session_destroy(session);
+    g_free(path);
+    call_release(call);
+}
+
+void
+endpoint_calls_stop(struct endpoint_calls *calls, struct work *work)
+{
+    struct call *call = work_job(work);
+
+    if (call == NULL || atomic_exchange(&call->stopped, true)) {
+        return;
+    }
+    pthread_mutex_lock(&call->lock);
+    pthread_cond_signal(&call->changed);
+    pthread_mutex_unlock(&call->lock);
+    if (call->is_prompt) {
+        worker_pool_run(calls->stop_pool, run_stop,
+                        g_atomic_rc_box_acquire(call));
+    }
+}
+
+void
+endpoint_calls_confirmed(struct work *work, uint64_t offset)
+{
+    struct call *call = work_job(work);
+
+    if (call == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&call->lock);
+    if (offset > call->confirmed_bytes) {
+        call->confirmed_bytes = MIN(offset, call->produced_bytes);
+    }
+    pthread_cond_signal(&call->changed);
+    pthread_mutex_unlock(&call->lock);
+}
--- /dev/null
+++ b/agent/main.c
@@ -0,0 +1,488 @@
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "agent/agent_settings.h"
+#include "agent/endpoint_calls.h"
+#include "agent/health.h"
+#include "core/config.h"
+#include "core/dispatch.h"
+#include "core/prefix_cache.h"
+#include "io/http_call.h"
+#include "io/link.h"
+#include "io/log.h"
+#include "io/loop.h"
+#include "io/platform_watch.h"
+#include "io/process.h"
+#include "io/published_config.h"
+
+#define LOG_PART "agent"
+
+enum {
+    ALIVE_MS = 1000,
+    DRAIN_CHECK_MS = 20
+};
+
+struct agent {
+    struct agent_settings settings;
+    struct agent_platform_settings platform;
+    uint64_t incarnation;
+    uint64_t generation;
+    struct loop *loop;
+    struct dispatch *dispatch;
+    struct prefix_cache *cache;
+    uint64_t bytes_per_token;
+    struct endpoint_calls *calls;
+    struct loop_timer *due_timer;
+    struct loop_timer *alive_timer;
+    struct loop_timer *drain_timer;
+    GHashTable *peers; /* number to struct peer */
+    uint64_t last_peer;
+    bool draining;
+};
+
+/* One connected entry. */
+struct peer {
+    struct agent *agent;
+    uint64_t number;
+    struct link *link;
+    char instance[MESSAGE_NAME_BYTES];
+    uint64_t incarnation;
+};
+
+static struct peer *
+find_peer(struct agent *agent, uint64_t number)
+{
+    return g_hash_table_lookup(agent->peers, &number);
+}
+
+static void
+arm_due_timer(struct agent *agent)
+{
+    uint64_t at_ms = dispatch_next_ms(agent->dispatch);
+
+    if (at_ms == UINT64_MAX) {
+        loop_timer_disarm(agent->due_timer);
+    }
+    else {
+        loop_timer_arm(agent->due_timer, at_ms);
+    }
+}
+
+static void
+on_due(void *data, uint64_t now_ms)
+{
+    struct agent *agent = data;
+
+    dispatch_timeout(agent->dispatch, now_ms);
+}
+
+static void
+on_round(void *data, uint64_t now_ms)
+{
+    (void)now_ms;
+    arm_due_timer(data);
+}
+
+static void
+send_to_entry(void *context, uint64_t number, const struct message *message)
+{
+    struct peer *peer = find_peer(context, number);
+
+    if (peer != NULL) {
+        link_send(peer->link, message);
+    }
+}
+
+static void
+start_work(void *context, struct work *work)
+{
+    struct agent *agent = context;
+
+    endpoint_calls_start(agent->calls, work, loop_now_ms(agent->loop));
+}
+
+static void
+stop_work(void *context, struct work *work)
+{
+    struct agent *agent = context;
+
+    endpoint_calls_stop(agent->calls, work);
+}
+
+static void
+confirm_work(void *context, struct work *work, uint64_t offset)
+{
+    (void)context;
+    endpoint_calls_confirmed(work, offset);
+}
+
+static uint64_t
+cached_tokens(void *context, const struct message *reserve)
+{
+    const struct agent *agent = context;
+
+    return prefix_cache_lookup(agent->cache, reserve->prefixes,
+                               reserve->prefix_count) /
+           agent->bytes_per_token;
+}
+
+static void
+on_call_head(void *data, struct work *work, uint32_t status,
+             const char *content_type)
+{
+    struct agent *agent = data;
+
+    dispatch_head(agent->dispatch, work, status, content_type);
+}
+
+static void
+on_call_bytes(void *data, struct work *work, const uint8_t *bytes,
+              size_t count, uint64_t now_ms)
+{
+    struct agent *agent = data;
+    uint32_t prefix_count;
+    const uint64_t *prefixes = work_prefixes(work, &prefix_count);
+
+    prefix_cache_add(agent->cache, prefixes, prefix_count);
+    dispatch_data(agent->dispatch, work, bytes, count, now_ms);
+}
+
+static void
+on_call_finished(void *data, struct work *work, enum outcome outcome,
+                 enum reason reason, uint64_t now_ms)
+{
+    struct agent *agent = data;
+
+    dispatch_finished(agent->dispatch, work, outcome, reason, now_ms);
+}
+
+static void
+on_health(void *data, bool healthy, uint64_t now_ms)
+{
+    struct agent *agent = data;
+
+    if (!healthy) {
+        prefix_cache_clear(agent->cache);
+    }
+    dispatch_set_healthy(agent->dispatch, healthy, now_ms);
+}
+
+static void
+take_config(struct agent *agent, uint64_t now_ms)
+{
+    const struct config *config = published_config_lock();
+    const struct pool *pool;
+
+    if (config != NULL) {
+        agent->generation = config_generation(config);
+        pool = config_pool_of_instance(config, agent->settings.instance);
+        if (pool != NULL) {
+            agent->bytes_per_token = pool->bytes_per_token;
+            prefix_cache_set_capacity(agent->cache, pool->memory_tokens *
+                                                        pool->bytes_per_token);
+        }
+        else {
+            LOG_WARN("in no pool", "instance=%s generation=%" PRIu64,
+                     agent->settings.instance, agent->generation);
+        }
+        dispatch_set_pool(agent->dispatch, pool, agent->generation, now_ms);
+    }
+    published_config_unlock();
+}
+
+static void
+on_config(void *data, uint64_t now_ms)
+{
+    take_config(data, now_ms);
+}
+
+static void
+on_members(void *data, const struct member *list, size_t count,
+           uint64_t now_ms)
+{
+    (void)data;
+    (void)list;
+    (void)count;
+    (void)now_ms;
+}
+
+static void
+take_passed_config(struct agent *agent, const struct message *message)
+{
+    GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+    struct config *config;
+
+    if (message->generation <= agent->generation) {
+        g_ptr_array_free(errors, TRUE);
+        return;
+    }
+    config = config_create((const char *)message->data, message->data_bytes,
+                           errors);
+    if (config == NULL) {
+        LOG_WARN("a passed configuration can't be read", "error=\"%s\"",
+                 (const char *)g_ptr_array_index(errors, 0));
+    }
+    else if (published_config_publish(config)) {
+        LOG_INFO("configuration in force",
+                 "generation=%" PRIu64 " source=entry", message->generation);
+        take_config(agent, loop_now_ms(agent->loop));
+    }
+    g_ptr_array_free(errors, TRUE);
+}
+
+/* A peer with an older configuration gets ours. */
+static void
+pass_config(const struct agent *agent, struct peer *peer,
+            uint64_t peer_generation)
+{
+    const struct config *config = published_config_lock();
+    struct message message = {.type = MESSAGE_CONFIG};
+
+    if (config != NULL && agent->generation > peer_generation) {
+        message.generation = config_generation(config);
+        message.data =
+            (const uint8_t *)config_head(config, &message.data_bytes);
+        link_send(peer->link, &message);
+    }
+    published_config_unlock();
+}
+
+static void
+warn_of_twin(const struct agent *agent, const struct peer *peer)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, agent->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct peer *other = value;
+
+        if (other != peer && strcmp(other->instance, peer->instance) == 0 &&
+            other->incarnation != peer->incarnation) {
+            LOG_WARN("two processes use one instance id", "instance=%s",
+                     peer->instance);
+            return;
+        }
+    }
+}
+
+static void
+on_link_up(void *data, struct link *link, const struct message *hello)
+{
+    struct peer *peer = data;
+
+    (void)link;
+    g_strlcpy(peer->instance, hello->instance, sizeof(peer->instance));
+    peer->incarnation = hello->incarnation;
+    warn_of_twin(peer->agent, peer);
+    LOG_INFO("entry connected", "instance=%s incarnation=%016" PRIx64,
+             peer->instance, peer->incarnation);
+    pass_config(peer->agent, peer, hello->generation);
+}
+
+static void
+on_link_message(void *data, struct link *link, const struct message *message)
+{
+    struct peer *peer = data;
+    struct agent *agent = peer->agent;
+
+    (void)link;
+    if (message->type == MESSAGE_CONFIG) {
+        take_passed_config(agent, message);
+        return;
+    }
+    dispatch_message(agent->dispatch, peer->number, message,
+                     loop_now_ms(agent->loop));
+}
+
+static void
+on_link_down(void *data, struct link *link, const char *why)
+{
+    struct peer *peer = data;
+    struct agent *agent = peer->agent;
+
+    LOG_INFO("entry disconnected", "instance=%s why=\"%s\"",
+             peer->instance[0] != '\0' ? peer->instance : "unknown", why);
+    dispatch_link_down(agent->dispatch, peer->number,
+                       loop_now_ms(agent->loop));
+    link_destroy(link);
+    g_hash_table_remove(agent->peers, &peer->number);
+}
+
+static void
+on_accept(void *data, int listen_fd, uint32_t events)
+{
+    static const struct link_handlers handlers = {on_link_up, on_link_message,
+                                                  on_link_down};
+    struct agent *agent = data;
+    int fd = accept4(listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    struct link_identity identity = {agent->settings.instance,
+                                     agent->settings.data_centre,
+                                     agent->incarnation, agent->generation};
+    struct peer *peer;
+
+    (void)events;
+    if (fd < 0) {
+        return;
+    }
+    peer = g_new0(struct peer, 1);
+    peer->agent = agent;
+    peer->number = ++agent->last_peer;
+    g_hash_table_insert(agent->peers, &peer->number, peer);
+    peer->link = link_accept(agent->loop, fd, &identity, &handlers, peer);
+}
+
+static void
+on_alive(void *data, uint64_t now_ms)
+{
+    static const struct message alive = {.type = MESSAGE_ALIVE};
+    struct agent *agent = data;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, agent->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct peer *peer = value;
+
+        if (dispatch_link_busy(agent->dispatch, peer->number)) {
+            link_send(peer->link, &alive);
+        }
+    }
+    loop_timer_arm(agent->alive_timer, now_ms + ALIVE_MS);
+}
+
+static void
+on_drain_check(void *data, uint64_t now_ms)
+{
+    struct agent *agent = data;
+
+    if (dispatch_idle(agent->dispatch, now_ms)) {
+        LOG_INFO("stopped", "%s", "");
+        loop_stop(agent->loop);
+        return;
+    }
+    loop_timer_arm(agent->drain_timer, now_ms + DRAIN_CHECK_MS);
+}
+
+static void
+on_signal(void *data, int signal_number)
+{
+    struct agent *agent = data;
+
+    if (agent->draining) {
+        return;
+    }
+    agent->draining = true;
+    LOG_INFO("draining", "signal=%d active=%u", signal_number,
+             dispatch_active(agent->dispatch));
+    dispatch_drain(agent->dispatch, loop_now_ms(agent->loop));
+    loop_timer_arm(agent->drain_timer,
+                   loop_now_ms(agent->loop) + DRAIN_CHECK_MS);
+}
+
+static bool
+listen_for_entries(struct agent *agent)
+{
+    int fd =
+        link_listen(agent->settings.listen.ip, agent->settings.listen.port);
+
+    if (fd < 0 || !loop_watch(agent->loop, fd, EPOLLIN, on_accept, agent)) {
+        LOG_ERR("can't listen", "address=%s:%u error=\"%s\"",
+                agent->settings.listen.ip, agent->settings.listen.port,
+                strerror(errno));
+        return false;
+    }
+    return true;
+}
+
+static void
+create_dispatch(struct agent *agent)
+{
+    static const struct dispatch_ops ops = {
+        send_to_entry, start_work, stop_work, confirm_work, cached_tokens};
+    const struct dispatch_settings settings = {
+        .offer_window_ms = (uint32_t)agent->settings.offer_window_ms,
+        .lease_ms = (uint32_t)agent->settings.lease_ms,
+        .record_ms = (uint32_t)agent->settings.record_ms,
+        .prefill_window_ms = (uint32_t)agent->settings.prefill_window_ms,
+        .max_queue = (uint32_t)agent->settings.max_queue,
+        .max_body_bytes = agent->settings.body_memory_bytes,
+    };
+
+    agent->dispatch = dispatch_create(&settings, &ops, agent);
+    dispatch_set_healthy(agent->dispatch, false, loop_now_ms(agent->loop));
+}
+
+static void
+start_threads(struct agent *agent)
+{
+    static const struct endpoint_calls_handlers call_handlers = {
+        on_call_head, on_call_bytes, on_call_finished};
+    static const struct platform_watch_handlers platform_handlers = {
+        on_config, on_members};
+    const struct health_target target = {
+        agent->settings.endpoint.ip, agent->settings.endpoint.port,
+        agent->settings.health_path, agent->settings.health_interval_ms};
+
+    agent->calls = endpoint_calls_create(
+        agent->loop, agent->settings.endpoint.ip,
+        agent->settings.endpoint.port, &call_handlers, agent);
+    health_start(agent->loop, &target, on_health, agent);
+    platform_watch_start(agent->loop, agent->platform.store.ip,
+                         agent->platform.store.port, agent->platform.service,
+                         &platform_handlers, agent);
+}
+
+static bool
+set_up(struct agent *agent)
+{
+    agent->incarnation = process_new_incarnation();
+    agent->bytes_per_token = 1;
+    agent->loop = loop_create();
+    if (agent->loop == NULL || !http_call_init() ||
+        !process_watch_signals(agent->loop, on_signal, agent)) {
+        LOG_ERR("can't start", "error=\"%s\"", strerror(errno));
+        return false;
+    }
+    agent->peers =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    agent->cache = prefix_cache_create(0);
+    create_dispatch(agent);
+    agent->due_timer = loop_timer_create(agent->loop, on_due, agent);
+    agent->alive_timer = loop_timer_create(agent->loop, on_alive, agent);
+    agent->drain_timer = loop_timer_create(agent->loop, on_drain_check, agent);
+    loop_set_round_handler(agent->loop, on_round, agent);
+    loop_timer_arm(agent->alive_timer, loop_now_ms(agent->loop) + ALIVE_MS);
+    published_config_register_thread();
+    return listen_for_entries(agent);
+}
+
+int
+main(int argc, char **argv)
+{
+    static struct agent agent;
+
+    switch (
+        agent_settings_start(argc, argv, &agent.settings, &agent.platform)) {
+    case SETTINGS_STOP:
+        return EXIT_SUCCESS;
+    case SETTINGS_BAD:
+        return SETTINGS_EXIT_BAD;
+    case SETTINGS_RUN:
+        break;
+    }
+    if (!set_up(&agent)) {
+        return EXIT_FAILURE;
+    }
+    start_threads(&agent);
+    LOG_INFO("started", "instance=%s incarnation=%016" PRIx64 " listen=%s:%u",
+             agent.settings.instance, agent.incarnation,
+             agent.settings.listen.ip, agent.settings.listen.port);
+    loop_run(agent.loop);
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/core/members.c
@@ -0,0 +1,407 @@
+#include "core/members.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/config.h"
+
+enum {
+    FAILURES_TO_EJECT = 3,
+    FIRST_EJECTION_MS = 1000,
+    MAX_EJECTION_MS = 60000,
+    /* After an ejection a node gets its full share only step by step. */
+    RETURN_MS = 10000,
+};
+
+/* Sort keys of candidates: random in 0 to 1, plus these. */
+static const double remote_penalty = 0.5;
+static const double returning_penalty = 2.0;
+static const double ejected_penalty = 4.0;
+
+struct node {
+    struct member member;
+    bool listed;
+    uint32_t failures; /* in a row */
+    uint32_t ejections;
+    uint64_t ejected_until_ms;
+};
+
+struct pool_nodes {
+    uint64_t generation;
+    GArray *nodes; /* uint32_t */
+};
+
+struct members {
+    char *own_data_centre;
+    struct members_ops ops;
+    void *context;
+    GPtrArray *nodes;    /* struct node */
+    GHashTable *by_name; /* instance to node number plus one */
+    GHashTable *by_pool; /* pool name to struct pool_nodes */
+    uint64_t generation;
+};
+
+static void
+node_free(gpointer data)
+{
+    struct node *node = data;
+
+    g_free(node->member.instance);
+    g_free(node->member.data_centre);
+    g_free(node->member.ip);
+    g_free(node);
+}
+
+static void
+pool_nodes_free(gpointer data)
+{
+    struct pool_nodes *nodes = data;
+
+    g_array_unref(nodes->nodes);
+    g_free(nodes);
+}
+
+struct members *
+members_create(const char *own_data_centre, const struct members_ops *ops,
+               void *context)
+{
+    struct members *members = g_new0(struct members, 1);
+
+    members->own_data_centre = g_strdup(own_data_centre);
+    members->ops = *ops;
+    members->context = context;
+    members->nodes = g_ptr_array_new_with_free_func(node_free);
+    members->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+    members->by_pool = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                             pool_nodes_free);
+    return members;
+}
+
+void
+members_destroy(struct members *members)
+{
+    if (members == NULL) {
+        return;
+    }
+    g_hash_table_destroy(members->by_pool);
+    g_hash_table_destroy(members->by_name);
+    g_ptr_array_free(members->nodes, TRUE);
+    g_free(members->own_data_centre);
+    g_free(members);
+}
+
+static struct node *
+node_at(const struct members *members, uint32_t number)
+{
+    if (number >= members->nodes->len) {
+        return NULL;
+    }
+    return g_ptr_array_index(members->nodes, number);
+}
+
+bool
+members_find(const struct members *members, const char *instance,
+             uint32_t *number)
+{
+    gpointer found = g_hash_table_lookup(members->by_name, instance);
+
+    if (found == NULL) {
+        return false;
+    }
+    *number = GPOINTER_TO_UINT(found) - 1;
+    return true;
+}
+
+const struct member *
+members_get(const struct members *members, uint32_t number)
+{
+    const struct node *node = node_at(members, number);
+
+    return node != NULL ? &node->member : NULL;
+}
+
+uint32_t
+members_count(const struct members *members)
+{
+    return members->nodes->len;
+}
+
+static void
+add_node(struct members *members, const struct member *member)
+{
+    struct node *node = g_new0(struct node, 1);
+
+    node->member.instance = g_strdup(member->instance);
+    node->member.data_centre = g_strdup(member->data_centre);
+    node->member.ip = g_strdup(member->ip);
+    node->member.port = member->port;
+    node->member.leaving = member->leaving;
+    node->listed = true;
+    g_ptr_array_add(members->nodes, node);
+    g_hash_table_insert(members->by_name, node->member.instance,
+                        GUINT_TO_POINTER(members->nodes->len));
+}
+
+static bool
+is_same(const struct member *a, const struct member *b)
+{
+    return a->port == b->port && a->leaving == b->leaving &&
+           strcmp(a->ip, b->ip) == 0 &&
+           strcmp(a->data_centre, b->data_centre) == 0;
+}
+
+/* An instance may come back under its name at another address. */
+static void
+change_node(struct members *members, uint32_t number,
+            const struct member *member)
+{
+    struct node *node = node_at(members, number);
+    bool moved = strcmp(node->member.ip, member->ip) != 0 ||
+                 node->member.port != member->port;
+
+    if (moved) {
+        node->failures = 0;
+        node->ejections = 0;
+        node->ejected_until_ms = 0;
+    }
+    g_free(node->member.ip);
+    g_free(node->member.data_centre);
+    node->member.ip = g_strdup(member->ip);
+    node->member.data_centre = g_strdup(member->data_centre);
+    node->member.port = member->port;
+    node->member.leaving = member->leaving;
+    if (moved || member->leaving) {
+        members->ops.left(members->context, number);
+    }
+}
+
+static bool
+take_member(struct members *members, const struct member *member,
+            GHashTable *seen)
+{
+    uint32_t number;
+    struct node *node;
+
+    g_hash_table_add(seen, member->instance);
+    if (!members_find(members, member->instance, &number)) {
+        add_node(members, member);
+        return true;
+    }
+    node = node_at(members, number);
+    if (node->listed && is_same(&node->member, member)) {
+        return false;
+    }
+    node->listed = true;
+    change_node(members, number, member);
+    return true;
+}
+
+static size_t
+drop_missing(struct members *members, GHashTable *seen)
+{
+    size_t changes = 0;
+
+    for (uint32_t i = 0; i < members->nodes->len; i++) {
+        struct node *node = node_at(members, i);
+
+        if (node->listed &&
+            !g_hash_table_contains(seen, node->member.instance)) {
+            node->listed = false;
+            node->member.leaving = true;
+            members->ops.left(members->context, i);
+            changes++;
+        }
+    }
+    return changes;
+}
+
+size_t
+members_update(struct members *members, const struct member *list,
+               size_t count)
+{
+    GHashTable *seen;
+    size_t changes = 0;
+
+    if (count == 0) {
+        return 0;
+    }
+    seen = g_hash_table_new(g_str_hash, g_str_equal);
+    for (size_t i = 0; i < count; i++) {
+        if (take_member(members, &list[i], seen)) {
+            changes++;
+        }
+    }
+    changes += drop_missing(members, seen);
+    g_hash_table_destroy(seen);
+    if (changes > 0) {
+        g_hash_table_remove_all(members->by_pool);
+    }
+    return changes;
+}
+
+void
+members_set_generation(struct members *members, uint64_t generation)
+{
+    if (generation != members->generation) {
+        members->generation = generation;
+        g_hash_table_remove_all(members->by_pool);
+    }
+}
+
+static GArray *
+nodes_of_pool(struct members *members, const struct pool *pool)
+{
+    struct pool_nodes *found =
+        g_hash_table_lookup(members->by_pool, pool->name);
+
+    if (found != NULL) {
+        return found->nodes;
+    }
+    found = g_new0(struct pool_nodes, 1);
+    found->nodes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    for (uint32_t i = 0; i < members->nodes->len; i++) {
+        const struct node *node = node_at(members, i);
+
+        if (!node->member.leaving &&
+            pool_has_instance(pool, node->member.instance)) {
+            g_array_append_val(found->nodes, i);
+        }
+    }
+    g_hash_table_insert(members->by_pool, g_strdup(pool->name), found);
+    return found->nodes;
+}
+
+static double
+standing(const struct node *node, uint64_t now_ms)
+{
+    uint64_t back_ms;
+
+    if (node->ejected_until_ms == 0) {
+        return 0;
+    }
+    if (now_ms < node->ejected_until_ms) {
+        return ejected_penalty;
+    }
+    back_ms = now_ms - node->ejected_until_ms;
+    if (back_ms >= RETURN_MS) {
+        return 0;
+    }
+    return returning_penalty * (double)(RETURN_MS - back_ms) / RETURN_MS;
+}
+
+struct scored {
+    uint32_t node;
+    double score;
+};
+
+static double
+random_score(const struct members *members, const struct node *node,
+             GRand *rand, uint64_t now_ms)
+{
+    double score = g_rand_double(rand) + standing(node, now_ms);
+
+    if (strcmp(node->member.data_centre, members->own_data_centre) != 0) {
+        score += remote_penalty;
+    }
+    return score;
+}
+
+/* Keeps the max lowest scores, sorted. */
+static size_t
+insert_scored(struct scored *best, size_t count, size_t max,
+              struct scored candidate)
+{
+    size_t at = count < max ? count : max - 1;
+
+    if (count == max && best[at].score <= candidate.score) {
+        return count;
+    }
+    while (at > 0 && best[at - 1].score > candidate.score) {
+        best[at] = best[at - 1];
+        at--;
+    }
+    best[at] = candidate;
+    return count < max ? count + 1 : max;
+}
+
+/* Rendezvous hashing: each prefix has its own order of the nodes, which other
+   nodes' coming and going doesn't change. */
+static bool
+affinity_node(const struct members *members, const GArray *nodes,
+              uint64_t affinity, uint64_t now_ms, uint32_t *out)
+{
+    uint64_t best = 0;
+    bool found = false;
+
+    for (guint i = 0; i < nodes->len; i++) {
+        uint32_t number = g_array_index(nodes, uint32_t, i);
+        const struct node *node = node_at(members, number);
+        uint64_t weight = XXH64(node->member.instance,
+                                strlen(node->member.instance), affinity);
+
+        if (standing(node, now_ms) == 0 && (!found || weight > best)) {
+            best = weight;
+            *out = number;
+            found = true;
+        }
+    }
+    return found;
+}
+
+size_t
+members_choose(struct members *members, const struct pool *pool,
+               uint64_t affinity, GRand *rand, uint64_t now_ms, uint32_t *out,
+               size_t max)
+{
+    GArray *nodes = nodes_of_pool(members, pool);
+    struct scored *best = g_newa0(struct scored, max + 1);
+    uint32_t first;
+    size_t count = 0;
+    size_t filled = 0;
+
+    for (guint i = 0; i < nodes->len; i++) {
+        uint32_t number = g_array_index(nodes, uint32_t, i);
+        struct scored candidate = {number, 0};
+
+        candidate.score =
+            random_score(members, node_at(members, number), rand, now_ms);
+        count = insert_scored(best, count, max, candidate);
+    }
+    if (affinity != 0 && max > 0 &&
+        affinity_node(members, nodes, affinity, now_ms, &first)) {
+        out[filled++] = first;
+    }
+    for (size_t i = 0; i < count && filled < max; i++) {
+        if (filled == 0 || best[i].node != out[0]) {
+            out[filled++] = best[i].node;
+        }
+    }
+    return filled;
+}
+
+void
+members_failed(struct members *members, uint32_t number, uint64_t now_ms)
+{
+    struct node *node = node_at(members, number);
+    uint64_t ejection_ms;
+
+    if (node == NULL || ++node->failures < FAILURES_TO_EJECT) {
+        return;
+    }
+    ejection_ms = (uint64_t)FIRST_EJECTION_MS << MIN(node->ejections, 6);
+    node->ejected_until_ms = now_ms + MIN(ejection_ms, MAX_EJECTION_MS);
+    node->ejections++;
+    node->failures = 0;
+}
+
+void
+members_served(struct members *members, uint32_t number)
+{
+    struct node *node = node_at(members, number);
+
+    if (node != NULL) {
+        node->failures = 0;
+        node->ejections = 0;
+    }
+}
--- /dev/null
+++ b/core/work_queue.c
@@ -0,0 +1,303 @@
+#include "core/work_queue.h"
+
+#include <glib.h>
+
+#include "core/config.h"
+#include "core/fair_share.h"
+#include "core/work.h"
+
+enum {
+    FIRST_BAND_TOKENS = 1000,
+    BAND_FACTOR = 4,
+    MS_PER_S = 1000,
+    SHARE_SCALE = 1024, /* of grant_share */
+    SHARE_HISTORY = 32, /* reservations that grant_share remembers */
+    PLAIN_HISTORY = 16, /* calls that plain_ms remembers */
+    FIRST_PLAIN_MS = 10,
+};
+
+struct work_queue {
+    uint32_t prefill_window_ms;
+    uint64_t prefill_rate;
+    uint64_t short_tokens;
+    uint64_t streams;
+    enum work_class class;
+    struct memory_account memory;
+    uint64_t short_held_tokens;
+    uint32_t running;
+    uint64_t band_tokens[WORK_QUEUE_BANDS]; /* held, not yet prefilled */
+    GSequence *order;
+    struct fair_share *shares;
+    uint64_t grant_share; /* of reservations that ran here, in 1024ths */
+    uint64_t plain_ms;    /* smoothed duration of a plain call */
+};
+
+struct work_queue *
+work_queue_create(uint32_t prefill_window_ms)
+{
+    struct work_queue *queue = g_new0(struct work_queue, 1);
+
+    queue->prefill_window_ms = prefill_window_ms;
+    queue->prefill_rate = 1;
+    queue->order = g_sequence_new(NULL);
+    queue->shares = fair_share_create();
+    queue->grant_share = SHARE_SCALE;
+    queue->plain_ms = FIRST_PLAIN_MS;
+    return queue;
+}
+
+void
+work_queue_destroy(struct work_queue *queue)
+{
+    if (queue == NULL) {
+        return;
+    }
+    g_sequence_free(queue->order);
+    fair_share_destroy(queue->shares);
+    g_free(queue);
+}
+
+void
+work_queue_set_pool(struct work_queue *queue, const struct pool *pool)
+{
+    uint64_t held_tokens = queue->memory.held_tokens;
+
+    memory_account_init(&queue->memory, pool->memory_tokens,
+                        pool->short_keep_percent);
+    queue->memory.held_tokens = held_tokens;
+    queue->prefill_rate = MAX(pool->prefill_rate, 1);
+    queue->short_tokens = pool->short_tokens;
+    queue->streams = pool->streams;
+    queue->class = (enum work_class)pool->work_class;
+}
+
+static uint32_t
+band_of(uint64_t tokens)
+{
+    uint64_t limit = FIRST_BAND_TOKENS;
+    uint32_t band = 0;
+
+    while (tokens > limit && band + 1 < WORK_QUEUE_BANDS) {
+        limit *= BAND_FACTOR;
+        band++;
+    }
+    return band;
+}
+
+void
+work_queue_measure(struct work_queue *queue, struct work *work,
+                   uint64_t now_ms)
+{
+    uint64_t start_ms;
+    uint64_t latest_ms;
+
+    if (work->class == WORK_PROMPT) {
+        work->prefill_tokens = work->prompt_tokens -
+                               MIN(work->cached_tokens, work->prompt_tokens);
+        work->need_tokens = work->prompt_tokens + work->max_tokens;
+        work->service_ms =
+            work->prefill_tokens * MS_PER_S / queue->prefill_rate;
+    }
+    else {
+        work->service_ms = queue->plain_ms;
+    }
+    work->band = band_of(work->prefill_tokens);
+    work->is_short = work->prompt_tokens <= queue->short_tokens;
+    start_ms = fair_share_start_ms(queue->shares, work->account,
+                                   work->service_ms, now_ms);
+    work->order_ms = start_ms + WORK_QUEUE_AGEING * work->service_ms;
+    latest_ms = work->deadline_ms - MIN(work->service_ms, work->deadline_ms);
+    work->order_ms = MIN(work->order_ms, MAX(latest_ms, now_ms));
+}
+
+bool
+work_queue_possible(const struct work_queue *queue, const struct work *work)
+{
+    return work->class == WORK_PLAIN ||
+           memory_account_possible(&queue->memory, work->need_tokens);
+}
+
+uint64_t
+work_queue_wait_ms(const struct work_queue *queue, const struct work *work)
+{
+    uint64_t ahead_ms = 0;
+    uint64_t prefill_tokens = 0;
+    GSequenceIter *iter = g_sequence_get_begin_iter(queue->order);
+
+    for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+        const struct work *other = g_sequence_get(iter);
+
+        if (other->order_ms > work->order_ms) {
+            break;
+        }
+        ahead_ms += other->service_ms;
+    }
+    for (uint32_t band = 0; band <= work->band; band++) {
+        prefill_tokens += queue->band_tokens[band];
+    }
+    /* Reservations made at several endpoints run at one of them. */
+    ahead_ms = ahead_ms * queue->grant_share / SHARE_SCALE;
+    if (work->class == WORK_PLAIN) {
+        return ahead_ms / MAX(queue->streams, 1);
+    }
+    return ahead_ms + prefill_tokens * MS_PER_S / queue->prefill_rate;
+}
+
+static gint
+compare_order(gconstpointer a, gconstpointer b, gpointer data)
+{
+    const struct work *first = a;
+    const struct work *second = b;
+
+    (void)data;
+    if (first->order_ms != second->order_ms) {
+        return first->order_ms < second->order_ms ? -1 : 1;
+    }
+    return 0;
+}
+
+void
+work_queue_return(struct work_queue *queue, const struct work *work,
+                  uint64_t now_ms)
+{
+    fair_share_return(queue->shares, work->account, work->service_ms, now_ms);
+}
+
+void
+work_queue_add(struct work_queue *queue, struct work *work)
+{
+    work->place =
+        g_sequence_insert_sorted(queue->order, work, compare_order, NULL);
+}
+
+static void
+learn_grant_share(struct work_queue *queue, bool ran_here)
+{
+    uint64_t sample = ran_here ? SHARE_SCALE : 0;
+
+    queue->grant_share =
+        (queue->grant_share * (SHARE_HISTORY - 1) + sample) / SHARE_HISTORY;
+}
+
+void
+work_queue_remove(struct work_queue *queue, struct work *work, bool returned,
+                  uint64_t now_ms)
+{
+    g_sequence_remove(work->place);
+    work->place = NULL;
+    if (returned) {
+        work_queue_return(queue, work, now_ms);
+        learn_grant_share(queue, false);
+    }
+}
+
+static bool
+prefill_has_room(const struct work_queue *queue, const struct work *work)
+{
+    uint64_t window =
+        queue->prefill_rate * queue->prefill_window_ms / MS_PER_S;
+    uint64_t ahead = queue->band_tokens[work->band];
+
+    return ahead == 0 || ahead + work->prefill_tokens <= window;
+}
+
+/* While an older prompt waits for memory, only short ones may pass it, and
+   they use no more than what is kept for them. */
+static bool
+may_pass_waiting(const struct work_queue *queue, const struct work *work)
+{
+    return work->is_short && queue->short_held_tokens + work->need_tokens <=
+                                 queue->memory.kept_tokens;
+}
+
+struct work *
+work_queue_next(const struct work_queue *queue)
+{
+    GSequenceIter *iter = g_sequence_get_begin_iter(queue->order);
+    bool memory_awaited = false;
+
+    if (queue->running >= queue->streams) {
+        return NULL;
+    }
+    for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+        struct work *work = g_sequence_get(iter);
+
+        if (work->class == WORK_PLAIN) {
+            return work;
+        }
+        if (!prefill_has_room(queue, work)) {
+            continue;
+        }
+        if (!memory_account_fits(&queue->memory, work->need_tokens,
+                                 work->is_short)) {
+            memory_awaited = true;
+            continue;
+        }
+        if (!memory_awaited || may_pass_waiting(queue, work)) {
+            return work;
+        }
+    }
+    return NULL;
+}
+
+void
+work_queue_hold(struct work_queue *queue, struct work *work)
+{
+    queue->running++;
+    memory_account_hold(&queue->memory, work->need_tokens);
+    if (work->is_short) {
+        queue->short_held_tokens += work->need_tokens;
+    }
+    work->prefilling = true;
+    queue->band_tokens[work->band] += work->prefill_tokens;
+}
+
+void
+work_queue_prefilled(struct work_queue *queue, struct work *work)
+{
+    if (work->prefilling) {
+        work->prefilling = false;
+        queue->band_tokens[work->band] -= work->prefill_tokens;
+    }
+}
+
+static void
+learn_plain_duration(struct work_queue *queue, uint64_t sample_ms)
+{
+    queue->plain_ms =
+        (queue->plain_ms * (PLAIN_HISTORY - 1) + sample_ms) / PLAIN_HISTORY;
+}
+
+void
+work_queue_release(struct work_queue *queue, struct work *work,
+                   uint64_t now_ms)
+{
+    g_assert(queue->running > 0);
+    queue->running--;
+    work_queue_prefilled(queue, work);
+    memory_account_release(&queue->memory, work->need_tokens);
+    if (work->is_short) {
+        queue->short_held_tokens -= work->need_tokens;
+    }
+    if (work->state == WORK_OFFERED) {
+        work_queue_return(queue, work, now_ms);
+        learn_grant_share(queue, false);
+        return;
+    }
+    learn_grant_share(queue, true);
+    if (work->class == WORK_PLAIN) {
+        learn_plain_duration(queue, now_ms - work->offered_ms);
+    }
+}
+
+uint32_t
+work_queue_length(const struct work_queue *queue)
+{
+    return (uint32_t)g_sequence_get_length(queue->order);
+}
+
+uint64_t
+work_queue_held_tokens(const struct work_queue *queue)
+{
+    return queue->memory.held_tokens;
+}
--- /dev/null
+++ b/core/work_queue.h
@@ -0,0 +1,67 @@
+#ifndef CORE_WORK_QUEUE_H
+#define CORE_WORK_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/memory_account.h"
+
+/* The order of work at one endpoint, and what may start now: short before
+   long with ageing, fair shares between client accounts, a bounded amount of
+   prefill ahead per band of lengths, and the memory account. */
+
+struct pool;
+struct work;
+struct work_queue;
+
+enum {
+    /* A prompt goes ahead of one that came this many of its own service times
+       later; the bound on how long it is overtaken. */
+    WORK_QUEUE_AGEING = 4,
+    /* Each band of lengths is four times as long as the one before. */
+    WORK_QUEUE_BANDS = 8,
+};
+
+struct work_queue *work_queue_create(uint32_t prefill_window_ms);
+void work_queue_destroy(struct work_queue *queue);
+
+/* Takes the sizes of a pool; held memory stays held. */
+void work_queue_set_pool(struct work_queue *queue, const struct pool *pool);
+
+/* Computes what the work needs, and its place in the order. */
+void work_queue_measure(struct work_queue *queue, struct work *work,
+                        uint64_t now_ms);
+
+/* Whether an idle endpoint could run it. */
+bool work_queue_possible(const struct work_queue *queue,
+                         const struct work *work);
+
+/* Estimate of the wait until it starts, from what is before it. */
+uint64_t work_queue_wait_ms(const struct work_queue *queue,
+                            const struct work *work);
+
+/* Measured work that is not added gives its account the share back. */
+void work_queue_return(struct work_queue *queue, const struct work *work,
+                       uint64_t now_ms);
+
+void work_queue_add(struct work_queue *queue, struct work *work);
+
+/* Takes queued work out. returned: it will not run here, its account gets
+   the share back. */
+void work_queue_remove(struct work_queue *queue, struct work *work,
+                       bool returned, uint64_t now_ms);
+
+/* The next work that may start now, NULL if none. */
+struct work *work_queue_next(const struct work_queue *queue);
+
+/* Room is held for work that left the queue, until it is released. */
+void work_queue_hold(struct work_queue *queue, struct work *work);
+void work_queue_release(struct work_queue *queue, struct work *work,
+                        uint64_t now_ms);
+/* The prefill is over: the first byte of the answer has come. */
+void work_queue_prefilled(struct work_queue *queue, struct work *work);
+
+uint32_t work_queue_length(const struct work_queue *queue);
+uint64_t work_queue_held_tokens(const struct work_queue *queue);
+
+#endif
--- /dev/null
+++ b/entry/entry_settings.h
@@ -0,0 +1,44 @@
+#ifndef ENTRY_ENTRY_SETTINGS_H
+#define ENTRY_ENTRY_SETTINGS_H
+
+#include <stdint.h>
+
+#include "core/ini.h"
+#include "io/settings.h"
+
+/* Settings of dandelionfork-entry; see docs/man/dandelionfork-entry.1.md for
+   each key. */
+
+struct entry_settings {
+    /* [entry] */
+    char *instance;
+    char *data_centre;
+    struct ini_address listen;
+    char *account_header;
+    char *time_limit_header;
+    uint64_t max_body_bytes;
+    uint64_t body_memory_bytes;
+    uint64_t max_connections;
+    uint64_t idle_ms;
+    uint64_t silence_ms;
+    uint64_t resume_ms;
+    uint64_t first_candidates;
+    uint64_t widen_step;
+    uint64_t widen_ms;
+    uint64_t max_candidates;
+    uint64_t max_attempts;
+    char **seeds;
+};
+
+struct entry_platform_settings {
+    /* [platform] */
+    struct ini_address store;
+    char *service;
+};
+
+/* Reads command line and file into the two structs and sets up the log. */
+enum settings_result
+entry_settings_start(int argc, char **argv, struct entry_settings *entry,
+                     struct entry_platform_settings *platform);
+
+#endif
--- /dev/null
+++ b/entry/main.c
@@ -0,0 +1,366 @@
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/config.h"
+#include "core/members.h"
+#include "core/message.h"
+#include "entry/agents.h"
+#include "entry/entry_counters.h"
+#include "entry/entry_settings.h"
+#include "entry/front.h"
+#include "entry/session.h"
+#include "io/http_call.h"
+#include "io/link.h"
+#include "io/log.h"
+#include "io/loop.h"
+#include "io/platform_watch.h"
+#include "io/process.h"
+#include "io/published_config.h"
+#include "io/worker_pool.h"
+
+#define LOG_PART "entry"
+
+enum {
+    WORKER_THREADS = 4,
+    DRAIN_CHECK_MS = 20,
+    MS_PER_S = 1000
+};
+
+struct entry {
+    struct entry_settings settings;
+    struct entry_platform_settings platform;
+    struct link_identity identity;
+    struct loop *loop;
+    struct front *front;
+    struct members *members;
+    struct agents *agents;
+    struct sessions *sessions;
+    struct worker_pool *workers;
+    struct loop_timer *drain_timer;
+    bool draining;
+};
+
+static void
+answer_health(struct entry *entry, struct exchange *exchange)
+{
+    const struct config *config = published_config_lock();
+    bool ready = config != NULL && !entry->draining;
+    GByteArray *body = g_byte_array_new();
+    char *text = g_strdup_printf(
+        "{\"state\":\"%s\",\"generation\":%" PRIu64 "}\n",
+        entry->draining ? "draining" : (ready ? "ready" : "starting"),
+        config != NULL ? config_generation(config) : 0);
+
+    published_config_unlock();
+    g_byte_array_append(body, (const guint8 *)text, (guint)strlen(text));
+    g_free(text);
+    exchange_answer(exchange,
+                    ready ? MHD_HTTP_OK : MHD_HTTP_SERVICE_UNAVAILABLE,
+                    "application/json", body);
+}
+
+static void
+answer_metrics(struct exchange *exchange)
+{
+    GByteArray *body = g_byte_array_new();
+    GString *text = g_string_new(NULL);
+
+    entry_counters_print(text);
+    g_byte_array_append(body, (const guint8 *)text->str, (guint)text->len);
+    g_string_free(text, TRUE);
+    exchange_answer(exchange, MHD_HTTP_OK, "text/plain; version=0.0.4", body);
+}
+
+static void
+on_request(void *data, struct exchange *exchange)
+{
+    struct entry *entry = data;
+    bool is_get = strcmp(exchange_method(exchange), "GET") == 0;
+
+    if (is_get && strcmp(exchange_path(exchange), "/healthz") == 0) {
+        answer_health(entry, exchange);
+    }
+    else if (is_get && strcmp(exchange_path(exchange), "/metrics") == 0) {
+        answer_metrics(exchange);
+    }
+    else {
+        sessions_request(entry->sessions, exchange);
+    }
+}
+
+static void
+on_closed(void *data, struct exchange *exchange)
+{
+    struct entry *entry = data;
+
+    if (exchange_owner(exchange) != NULL) {
+        sessions_closed(entry->sessions, exchange);
+    }
+}
+
+static void
+on_gone(void *data, struct exchange *exchange)
+{
+    struct entry *entry = data;
+
+    if (exchange_owner(exchange) != NULL) {
+        sessions_gone(entry->sessions, exchange);
+    }
+}
+
+static void
+on_consumed(void *data, struct exchange *exchange, uint64_t bytes)
+{
+    struct entry *entry = data;
+
+    if (exchange_owner(exchange) != NULL) {
+        sessions_consumed(entry->sessions, exchange, bytes);
+    }
+}
+
+/* Fills a message with the configuration in force; between lock and unlock
+   of the configuration. */
+static bool
+fill_config_message(const struct config *config, struct message *message)
+{
+    if (config == NULL) {
+        return false;
+    }
+    message->type = MESSAGE_CONFIG;
+    message->generation = config_generation(config);
+    message->data = (const uint8_t *)config_head(config, &message->data_bytes);
+    return true;
+}
+
+static void
+on_config(void *data, uint64_t now_ms)
+{
+    struct entry *entry = data;
+    const struct config *config = published_config_lock();
+    struct message message = {0};
+
+    (void)now_ms;
+    if (fill_config_message(config, &message)) {
+        entry->identity.generation = message.generation;
+        members_set_generation(entry->members, message.generation);
+        agents_broadcast(entry->agents, &message);
+    }
+    published_config_unlock();
+}
+
+static void
+take_passed_config(struct entry *entry, const struct message *message)
+{
+    GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+    struct config *config = NULL;
+
+    if (message->generation > entry->identity.generation) {
+        config = config_create((const char *)message->data,
+                               message->data_bytes, errors);
+    }
+    if (config != NULL && published_config_publish(config)) {
+        LOG_INFO("configuration in force",
+                 "generation=%" PRIu64 " source=agent", message->generation);
+        on_config(entry, loop_now_ms(entry->loop));
+    }
+    g_ptr_array_free(errors, TRUE);
+}
+
+static void
+on_agent_message(void *data, uint32_t node, uint64_t incarnation,
+                 const struct message *message, uint64_t now_ms)
+{
+    struct entry *entry = data;
+
+    if (message->type == MESSAGE_CONFIG) {
+        take_passed_config(entry, message);
+        return;
+    }
+    sessions_message(entry->sessions, node, incarnation, message, now_ms);
+}
+
+static void
+on_agent_up(void *data, uint32_t node, uint64_t incarnation,
+            uint64_t generation, uint64_t now_ms)
+{
+    struct entry *entry = data;
+    const struct config *config = published_config_lock();
+    struct message message = {0};
+
+    if (generation < entry->identity.generation &&
+        fill_config_message(config, &message)) {
+        agents_send(entry->agents, node, &message);
+    }
+    published_config_unlock();
+    sessions_node_up(entry->sessions, node, incarnation, now_ms);
+}
+
+static void
+on_agent_down(void *data, uint32_t node, uint64_t now_ms)
+{
+    struct entry *entry = data;
+
+    sessions_node_down(entry->sessions, node, now_ms);
+}
+
+static void
+on_agent_silent(void *data, uint32_t node, uint64_t now_ms)
+{
+    struct entry *entry = data;
+
+    sessions_node_silent(entry->sessions, node, now_ms);
+}
+
+static void
+on_member_left(void *data, uint32_t node)
+{
+    struct entry *entry = data;
+
+    sessions_node_leaving(entry->sessions, node, loop_now_ms(entry->loop));
+    agents_forget_address(entry->agents, node);
+}
+
+static void
+on_members(void *data, const struct member *list, size_t count,
+           uint64_t now_ms)
+{
+    struct entry *entry = data;
+    size_t changes = members_update(entry->members, list, count);
+
+    (void)now_ms;
+    if (changes > 0) {
+        LOG_INFO("list of instances taken", "listed=%zu changes=%zu", count,
+                 changes);
+    }
+}
+
+static void
+on_drain_check(void *data, uint64_t now_ms)
+{
+    struct entry *entry = data;
+
+    if (front_open_exchanges(entry->front) == 0) {
+        LOG_INFO("stopped", "%s", "");
+        loop_stop(entry->loop);
+        return;
+    }
+    loop_timer_arm(entry->drain_timer, now_ms + DRAIN_CHECK_MS);
+}
+
+static void
+on_signal(void *data, int signal_number)
+{
+    struct entry *entry = data;
+
+    if (entry->draining) {
+        return;
+    }
+    entry->draining = true;
+    LOG_INFO("draining", "signal=%d open=%u", signal_number,
+             front_open_exchanges(entry->front));
+    front_stop_listening(entry->front);
+    loop_timer_arm(entry->drain_timer,
+                   loop_now_ms(entry->loop) + DRAIN_CHECK_MS);
+}
+
+static void
+create_sessions(struct entry *entry)
+{
+    static const struct agents_handlers agent_handlers = {
+        on_agent_message, on_agent_up, on_agent_down, on_agent_silent};
+    static const struct members_ops member_ops = {on_member_left};
+    const struct entry_settings *from = &entry->settings;
+    const struct sessions_settings settings = {
+        .incarnation = entry->identity.incarnation,
+        .account_header = from->account_header,
+        .time_limit_header = from->time_limit_header,
+        .binding = {.first_candidates = (uint32_t)from->first_candidates,
+                    .widen_step = (uint32_t)from->widen_step,
+                    .widen_ms = (uint32_t)from->widen_ms,
+                    .max_candidates = (uint32_t)from->max_candidates,
+                    .resume_ms = (uint32_t)from->resume_ms,
+                    .max_attempts = (uint32_t)from->max_attempts},
+    };
+
+    entry->members = members_create(from->data_centre, &member_ops, entry);
+    entry->workers = worker_pool_create(WORKER_THREADS);
+    entry->sessions = sessions_create(entry->loop, &settings, entry->members,
+                                      entry->workers);
+    entry->agents =
+        agents_create(entry->loop, entry->members, &entry->identity,
+                      (uint32_t)from->silence_ms, &agent_handlers, entry);
+    sessions_set_agents(entry->sessions, entry->agents);
+}
+
+static bool
+create_front(struct entry *entry)
+{
+    static const struct front_handlers handlers = {on_request, on_closed,
+                                                   on_gone, on_consumed};
+    const struct front_settings settings = {
+        .ip = entry->settings.listen.ip,
+        .port = entry->settings.listen.port,
+        .max_body_bytes = entry->settings.max_body_bytes,
+        .body_memory_bytes = entry->settings.body_memory_bytes,
+        .max_connections = (uint32_t)entry->settings.max_connections,
+        .idle_s = (uint32_t)(entry->settings.idle_ms / MS_PER_S),
+    };
+
+    entry->front = front_create(entry->loop, &settings, &handlers, entry);
+    if (entry->front == NULL) {
+        LOG_ERR("can't listen", "address=%s:%u", settings.ip, settings.port);
+        return false;
+    }
+    return true;
+}
+
+static bool
+set_up(struct entry *entry)
+{
+    entry->identity.instance = entry->settings.instance;
+    entry->identity.data_centre = entry->settings.data_centre;
+    entry->identity.incarnation = process_new_incarnation();
+    entry->loop = loop_create();
+    if (entry->loop == NULL || !http_call_init() ||
+        !process_watch_signals(entry->loop, on_signal, entry)) {
+        LOG_ERR("can't start", "error=\"%s\"", strerror(errno));
+        return false;
+    }
+    entry->drain_timer = loop_timer_create(entry->loop, on_drain_check, entry);
+    published_config_register_thread();
+    create_sessions(entry);
+    return create_front(entry);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct platform_watch_handlers platform_handlers = {
+        on_config, on_members};
+    static struct entry entry;
+
+    switch (
+        entry_settings_start(argc, argv, &entry.settings, &entry.platform)) {
+    case SETTINGS_STOP:
+        return EXIT_SUCCESS;
+    case SETTINGS_BAD:
+        return SETTINGS_EXIT_BAD;
+    case SETTINGS_RUN:
+        break;
+    }
+    if (!set_up(&entry)) {
+        return EXIT_FAILURE;
+    }
+    platform_watch_start(entry.loop, entry.platform.store.ip,
+                         entry.platform.store.port, entry.platform.service,
+                         &platform_handlers, &entry);
+    LOG_INFO("started", "instance=%s incarnation=%016" PRIx64 " listen=%s:%u",
+             entry.settings.instance, entry.identity.incarnation,
+             entry.settings.listen.ip, entry.settings.listen.port);
+    loop_run(entry.loop);
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/io/counters.c
@@ -0,0 +1,131 @@
+#include "io/counters.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+
+enum {
+    HISTOGRAM_BUCKETS = 20
+};
+
+struct counter {
+    char *name;
+    _Atomic int64_t value;
+};
+
+struct histogram {
+    char *name;
+    char *labels;
+    _Atomic uint64_t buckets[HISTOGRAM_BUCKETS + 1];
+    _Atomic uint64_t sum_ms;
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GPtrArray *counters;
+static GPtrArray *histograms;
+
+static void
+add_to(GPtrArray **list, gpointer item)
+{
+    pthread_mutex_lock(&lock);
+    if (*list == NULL) {
+        *list = g_ptr_array_new();
+    }
+    g_ptr_array_add(*list, item);
+    pthread_mutex_unlock(&lock);
+}
+
+struct counter *
+counter_create(const char *name)
+{
+    struct counter *counter = g_new0(struct counter, 1);
+
+    counter->name = g_strdup(name);
+    add_to(&counters, counter);
+    return counter;
+}
+
+void
+counter_add(struct counter *counter, int64_t amount)
+{
+    atomic_fetch_add_explicit(&counter->value, amount, memory_order_relaxed);
+}
+
+void
+counter_set(struct counter *counter, int64_t value)
+{
+    atomic_store_explicit(&counter->value, value, memory_order_relaxed);
+}
+
+int64_t
+counter_get(const struct counter *counter)
+{
+    return atomic_load_explicit(&counter->value, memory_order_relaxed);
+}
+
+struct histogram *
+histogram_create(const char *name, const char *labels)
+{
+    struct histogram *histogram = g_new0(struct histogram, 1);
+
+    histogram->name = g_strdup(name);
+    histogram->labels = g_strdup(labels);
+    add_to(&histograms, histogram);
+    return histogram;
+}
+
+void
+histogram_add(struct histogram *histogram, uint64_t value_ms)
+{
+    uint32_t bucket = 0;
+
+    while (bucket < HISTOGRAM_BUCKETS && value_ms > (1ULL << bucket)) {
+        bucket++;
+    }
+    atomic_fetch_add_explicit(&histogram->buckets[bucket], 1,
+                              memory_order_relaxed);
+    atomic_fetch_add_explicit(&histogram->sum_ms, value_ms,
+                              memory_order_relaxed);
+}
+
+static void
+print_histogram(const struct histogram *histogram, GString *out)
+{
+    const char *comma = histogram->labels[0] != '\0' ? "," : "";
+    uint64_t total = 0;
+
+    for (uint32_t i = 0; i < HISTOGRAM_BUCKETS; i++) {
+        total +=
+            atomic_load_explicit(&histogram->buckets[i], memory_order_relaxed);
+        g_string_append_printf(
+            out, "%s_bucket{%s%sle=\"%" PRIu64 "\"} %" PRIu64 "\n",
+            histogram->name, histogram->labels, comma, (uint64_t)1 << i,
+            total);
+    }
+    total += atomic_load_explicit(&histogram->buckets[HISTOGRAM_BUCKETS],
+                                  memory_order_relaxed);
+    g_string_append_printf(out, "%s_bucket{%s%sle=\"+Inf\"} %" PRIu64 "\n",
+                           histogram->name, histogram->labels, comma, total);
+    g_string_append_printf(out, "%s_count{%s} %" PRIu64 "\n", histogram->name,
+                           histogram->labels, total);
+    g_string_append_printf(
+        out, "%s_sum{%s} %" PRIu64 "\n", histogram->name, histogram->labels,
+        atomic_load_explicit(&histogram->sum_ms, memory_order_relaxed));
+}
+
+void
+counters_print(GString *out)
+{
+    pthread_mutex_lock(&lock);
+    for (guint i = 0; counters != NULL && i < counters->len; i++) {
+        const struct counter *counter = g_ptr_array_index(counters, i);
+
+        g_string_append_printf(out, "%s %" PRId64 "\n", counter->name,
+                               counter_get(counter));
+    }
+    for (guint i = 0; histograms != NULL && i < histograms->len; i++) {
+        print_histogram(g_ptr_array_index(histograms, i), out);
+    }
+    pthread_mutex_unlock(&lock);
+}
--- /dev/null
+++ b/io/log.h
@@ -0,0 +1,38 @@
+#ifndef IO_LOG_H
+#define IO_LOG_H
+
+#include <stdbool.h>
+
+/* Log lines on standard error: one line an event, a short sentence and
+   key=value fields, or one JSON object a line. Thread-safe. */
+
+enum log_level {
+    LOG_ERROR,
+    LOG_WARNING,
+    LOG_INFO,
+    LOG_DEBUG
+};
+
+enum log_format {
+    LOG_TEXT,
+    LOG_JSON
+};
+
+/* Called once, before other threads start. */
+void log_configure(enum log_level level, enum log_format format);
+
+bool log_enabled(enum log_level level);
+
+/* Writes one line. part is the fixed prefix of the module; event is a short
+   sentence; the fields are a printf format of blank-separated key=value
+   pairs, or "" for none. */
+void log_write(enum log_level level, const char *part, const char *event,
+               const char *fields, ...) __attribute__((format(printf, 4, 5)));
+
+#define LOG_ERR(event, ...) log_write(LOG_ERROR, LOG_PART, event, __VA_ARGS__)
+#define LOG_WARN(event, ...)                                                  \
+    log_write(LOG_WARNING, LOG_PART, event, __VA_ARGS__)
+#define LOG_INFO(event, ...) log_write(LOG_INFO, LOG_PART, event, __VA_ARGS__)
+#define LOG_DBG(event, ...) log_write(LOG_DEBUG, LOG_PART, event, __VA_ARGS__)
+
+#endif
--- /dev/null
+++ b/io/loop.c
@@ -0,0 +1,373 @@
+#include "io/loop.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+enum {
+    MAX_EVENTS = 64,
+    MAX_WAIT_MS = 1000
+};
+
+struct watch {
+    int fd;
+    bool removed;
+    void (*handler)(void *data, int fd, uint32_t events);
+    void *data;
+};
+
+struct loop_timer {
+    struct loop *loop;
+    uint64_t at_ms;
+    size_t position; /* in the heap, plus one; 0 when not armed */
+    void (*handler)(void *data, uint64_t now_ms);
+    void *data;
+};
+
+struct posted_call {
+    void (*handler)(void *data, uint64_t now_ms);
+    void *data;
+};
+
+struct loop {
+    int epoll_fd;
+    int wake_fd;
+    bool running;
+    uint64_t now_ms;
+    GHashTable *watches; /* fd to struct watch */
+    GPtrArray *removed;  /* watches freed at the end of the round */
+    GPtrArray *heap;     /* armed timers, the earliest first */
+    pthread_mutex_t lock;
+    GArray *posted; /* guarded by lock */
+    void (*round_handler)(void *data, uint64_t now_ms);
+    void *round_data;
+};
+
+uint64_t
+loop_clock_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static void
+run_posted(void *data, int fd, uint32_t events)
+{
+    struct loop *loop = data;
+    GArray *calls;
+    uint64_t count;
+
+    (void)events;
+    if (read(fd, &count, sizeof(count)) < 0 && errno != EAGAIN) {
+        return;
+    }
+    pthread_mutex_lock(&loop->lock);
+    calls = loop->posted;
+    loop->posted = g_array_new(FALSE, FALSE, sizeof(struct posted_call));
+    pthread_mutex_unlock(&loop->lock);
+    for (guint i = 0; i < calls->len; i++) {
+        struct posted_call *call =
+            &g_array_index(calls, struct posted_call, i);
+
+        call->handler(call->data, loop->now_ms);
+    }
+    g_array_free(calls, TRUE);
+}
+
+struct loop *
+loop_create(void)
+{
+    struct loop *loop = g_new0(struct loop, 1);
+
+    loop->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    loop->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+    loop->now_ms = loop_clock_ms();
+    loop->watches = g_hash_table_new(NULL, NULL);
+    loop->removed = g_ptr_array_new_with_free_func(g_free);
+    loop->heap = g_ptr_array_new();
+    pthread_mutex_init(&loop->lock, NULL);
+    loop->posted = g_array_new(FALSE, FALSE, sizeof(struct posted_call));
+    if (loop->epoll_fd < 0 || loop->wake_fd < 0 ||
+        !loop_watch(loop, loop->wake_fd, EPOLLIN, run_posted, loop)) {
+        loop_destroy(loop);
+        return NULL;
+    }
+    return loop;
+}
+
+void
+loop_destroy(struct loop *loop)
+{
+    GHashTableIter iter;
+    gpointer watch;
+
+    if (loop == NULL) {
+        return;
+    }
+    g_hash_table_iter_init(&iter, loop->watches);
+    while (g_hash_table_iter_next(&iter, NULL, &watch)) {
+        g_free(watch);
+    }
+    g_hash_table_destroy(loop->watches);
+    g_ptr_array_free(loop->removed, TRUE);
+    g_ptr_array_free(loop->heap, TRUE);
+    g_array_free(loop->posted, TRUE);
+    pthread_mutex_destroy(&loop->lock);
+    if (loop->epoll_fd >= 0) {
+        close(loop->epoll_fd);
+    }
+    if (loop->wake_fd >= 0) {
+        close(loop->wake_fd);
+    }
+    g_free(loop);
+}
+
+uint64_t
+loop_now_ms(const struct loop *loop)
+{
+    return loop->now_ms;
+}
+
+bool
+loop_watch(struct loop *loop, int fd, uint32_t events,
+           void (*handler)(void *data, int fd, uint32_t events), void *data)
+{
+    struct watch *watch = g_new0(struct watch, 1);
+    struct epoll_event event = {.events = events, .data.ptr = watch};
+
+    watch->fd = fd;
+    watch->handler = handler;
+    watch->data = data;
+    if (epoll_ctl(loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) < 0) {
+        g_free(watch);
+        return false;
+    }
+    g_hash_table_insert(loop->watches, GINT_TO_POINTER(fd), watch);
+    return true;
+}
+
+bool
+loop_rewatch(struct loop *loop, int fd, uint32_t events)
+{
+    struct watch *watch =
+        g_hash_table_lookup(loop->watches, GINT_TO_POINTER(fd));
+    struct epoll_event event = {.events = events, .data.ptr = watch};
+
+    return watch != NULL &&
+           epoll_ctl(loop->epoll_fd, EPOLL_CTL_MOD, fd, &event) == 0;
+}
+
+void
+loop_unwatch(struct loop *loop, int fd)
+{
+    struct watch *watch =
+        g_hash_table_lookup(loop->watches, GINT_TO_POINTER(fd));
+
+    if (watch == NULL) {
+        return;
+    }
+    epoll_ctl(loop->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+    g_hash_table_remove(loop->watches, GINT_TO_POINTER(fd));
+    /* The present round may still hold an event for it. */
+    watch->removed = true;
+    g_ptr_array_add(loop->removed, watch);
+}
+
+static struct loop_timer *
+heap_at(const struct loop *loop, size_t index)
+{
+    return g_ptr_array_index(loop->heap, index);
+}
+
+static void
+heap_put(struct loop *loop, size_t index, struct loop_timer *timer)
+{
+    g_ptr_array_index(loop->heap, index) = timer;
+    timer->position = index + 1;
+}
+
+static void
+heap_sift_up(struct loop *loop, size_t index)
+{
+    struct loop_timer *timer = heap_at(loop, index);
+
+    while (index > 0) {
+        size_t parent = (index - 1) / 2;
+
+        if (heap_at(loop, parent)->at_ms <= timer->at_ms) {
+            break;
+        }
+        heap_put(loop, index, heap_at(loop, parent));
+        index = parent;
+    }
+    heap_put(loop, index, timer);
+}
+
+static void
+heap_sift_down(struct loop *loop, size_t index)
+{
+    struct loop_timer *timer = heap_at(loop, index);
+
+    for (;;) {
+        size_t child = index * 2 + 1;
+
+        if (child >= loop->heap->len) {
+            break;
+        }
+        if (child + 1 < loop->heap->len &&
+            heap_at(loop, child + 1)->at_ms < heap_at(loop, child)->at_ms) {
+            child++;
+        }
+        if (timer->at_ms <= heap_at(loop, child)->at_ms) {
+            break;
+        }
+        heap_put(loop, index, heap_at(loop, child));
+        index = child;
+    }
+    heap_put(loop, index, timer);
+}
+
+struct loop_timer *
+loop_timer_create(struct loop *loop,
+                  void (*handler)(void *data, uint64_t now_ms), void *data)
+{
+    struct loop_timer *timer = g_new0(struct loop_timer, 1);
+
+    timer->loop = loop;
+    timer->handler = handler;
+    timer->data = data;
+    return timer;
+}
+
+void
+loop_timer_disarm(struct loop_timer *timer)
+{
+    struct loop *loop = timer->loop;
+    size_t index = timer->position - 1;
+    struct loop_timer *last;
+
+    if (timer->position == 0) {
+        return;
+    }
+    timer->position = 0;
+    last = heap_at(loop, loop->heap->len - 1);
+    g_ptr_array_set_size(loop->heap, (gint)loop->heap->len - 1);
+    if (last == timer) {
+        return;
+    }
+    heap_put(loop, index, last);
+    heap_sift_up(loop, index);
+    heap_sift_down(loop, last->position - 1);
+}
+
+void
+loop_timer_arm(struct loop_timer *timer, uint64_t at_ms)
+{
+    if (timer->position != 0 && timer->at_ms == at_ms) {
+        return;
+    }
+    loop_timer_disarm(timer);
+    timer->at_ms = at_ms;
+    g_ptr_array_add(timer->loop->heap, timer);
+    heap_sift_up(timer->loop, timer->loop->heap->len - 1);
+}
+
+void
+loop_timer_destroy(struct loop_timer *timer)
+{
+    if (timer == NULL) {
+        return;
+    }
+    loop_timer_disarm(timer);
+    g_free(timer);
+}
+
+void
+loop_post(struct loop *loop, void (*handler)(void *data, uint64_t now_ms),
+          void *data)
+{
+    struct posted_call call = {handler, data};
+    uint64_t one = 1;
+
+    pthread_mutex_lock(&loop->lock);
+    g_array_append_val(loop->posted, call);
+    pthread_mutex_unlock(&loop->lock);
+    if (write(loop->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN) {
+        abort();
+    }
+}
+
+void
+loop_set_round_handler(struct loop *loop,
+                       void (*handler)(void *data, uint64_t now_ms),
+                       void *data)
+{
+    loop->round_handler = handler;
+    loop->round_data = data;
+}
+
+static int
+wait_ms(const struct loop *loop)
+{
+    uint64_t at_ms;
+    uint64_t now_ms = loop_clock_ms();
+
+    if (loop->heap->len == 0) {
+        return MAX_WAIT_MS;
+    }
+    at_ms = heap_at(loop, 0)->at_ms;
+    if (at_ms <= now_ms) {
+        return 0;
+    }
+    return (int)MIN(at_ms - now_ms, (uint64_t)MAX_WAIT_MS);
+}
+
+static void
+run_timers(struct loop *loop)
+{
+    while (loop->heap->len > 0 && heap_at(loop, 0)->at_ms <= loop->now_ms) {
+        struct loop_timer *timer = heap_at(loop, 0);
+
+        loop_timer_disarm(timer);
+        timer->handler(timer->data, loop->now_ms);
+    }
+}
+
+void
+loop_run(struct loop *loop)
+{
+    struct epoll_event events[MAX_EVENTS];
+
+    loop->running = true;
+    while (loop->running) {
+        int count =
+            epoll_wait(loop->epoll_fd, events, MAX_EVENTS, wait_ms(loop));
+
+        loop->now_ms = loop_clock_ms();
+        for (int i = 0; i < count; i++) {
+            struct watch *watch = events[i].data.ptr;
+
+            if (!watch->removed) {
+                watch->handler(watch->data, watch->fd, events[i].events);
+            }
+        }
+        run_timers(loop);
+        if (loop->round_handler != NULL) {
+            loop->round_handler(loop->round_data, loop->now_ms);
+        }
+        g_ptr_array_set_size(loop->removed, 0);
+    }
+}
+
+void
+loop_stop(struct loop *loop)
+{
+    loop->running = false;
+}
--- /dev/null
+++ b/io/store.c
@@ -0,0 +1,264 @@
+#include "io/store.h"
+
+#include <jansson.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#include "core/members.h"
+#include "io/http_call.h"
+
+enum {
+    CONNECT_S = 2,
+    READ_MARGIN_S = 3,
+    MAX_ANSWER_BYTES = 4 * 1024 * 1024,
+    MS_PER_S = 1000,
+    HTTP_OK = 200,
+    HTTP_NOT_FOUND = 404,
+};
+
+struct store {
+    struct http_session *reads;
+    struct http_session *writes; /* never sends a request again by itself */
+};
+
+static _Atomic uint64_t call_count;
+
+GQuark
+store_error_quark(void)
+{
+    return g_quark_from_static_string("store-error");
+}
+
+uint64_t
+store_calls(void)
+{
+    return atomic_load(&call_count);
+}
+
+struct store *
+store_create(const char *ip, uint16_t port)
+{
+    struct store *store = g_new0(struct store, 1);
+
+    store->reads = http_session_create(ip, port, true);
+    store->writes = http_session_create(ip, port, false);
+    return store;
+}
+
+void
+store_destroy(struct store *store)
+{
+    if (store == NULL) {
+        return;
+    }
+    http_session_destroy(store->reads);
+    http_session_destroy(store->writes);
+    g_free(store);
+}
+
+static uint32_t
+call(struct http_session *session, const char *method, const char *path,
+     const char *bytes, size_t count, uint32_t wait_ms, GByteArray *answer,
+     GError **error)
+{
+    struct http_request request = {
+        .method = method, .path = path, .body = bytes, .body_bytes = count};
+    GError *failure = NULL;
+    uint32_t status;
+
+    atomic_fetch_add(&call_count, 1);
+    http_session_set_timeouts(session, CONNECT_S,
+                              wait_ms / MS_PER_S + READ_MARGIN_S);
+    status = http_fetch(session, &request, answer, MAX_ANSWER_BYTES, &failure);
+    if (failure != NULL) {
+        enum store_error code = failure->code == HTTP_ERROR_NOT_SENT
+                                    ? STORE_ERROR_DOWN
+                                    : STORE_ERROR_UNKNOWN;
+
+        g_set_error(error, store_error_quark(), code, "%s", failure->message);
+        g_error_free(failure);
+        return 0;
+    }
+    if (status != HTTP_OK && status != HTTP_NOT_FOUND) {
+        g_set_error(error, store_error_quark(), STORE_ERROR_UNKNOWN,
+                    "the key-value service answered with status %u", status);
+        return 0;
+    }
+    return status;
+}
+
+static json_t *
+parse_answer(const GByteArray *answer, GError **error)
+{
+    json_t *json = json_loadb((const char *)answer->data, answer->len,
+                              JSON_DECODE_ANY, NULL);
+
+    if (json == NULL) {
+        g_set_error(error, store_error_quark(), STORE_ERROR_UNKNOWN,
+                    "the key-value service's answer is not JSON");
+    }
+    return json;
+}
+
+static bool
+decode_value(json_t *json, struct store_value *out, GError **error)
+{
+    const char *encoded;
+    json_int_t index;
+    guchar *bytes;
+    gsize count;
+
+    if (json_unpack(json, "[{s:s, s:I}]", "Value", &encoded, "ModifyIndex",
+                    &index) != 0) {
+        g_set_error(error, store_error_quark(), STORE_ERROR_UNKNOWN,
+                    "the key-value service's answer has another form");
+        return false;
+    }
+    bytes = g_base64_decode(encoded, &count);
+    out->bytes = g_strndup((const char *)bytes, count);
+    out->count = count;
+    out->index = (uint64_t)index;
+    g_free(bytes);
+    return true;
+}
+
+bool
+store_get(struct store *store, const char *key, uint64_t after_index,
+          uint32_t wait_ms, struct store_value *out, GError **error)
+{
+    GByteArray *answer = g_byte_array_new();
+    json_t *json = NULL;
+    bool ok = false;
+    uint32_t status;
+    char *path = wait_ms == 0
+                     ? g_strdup_printf("/v1/kv/%s", key)
+                     : g_strdup_printf("/v1/kv/%s?index=%" G_GUINT64_FORMAT
+                                       "&wait=%ums",
+                                       key, after_index, wait_ms);
+
+    memset(out, 0, sizeof(*out));
+    status = call(store->reads, "GET", path, NULL, 0, wait_ms, answer, error);
+    if (status == HTTP_NOT_FOUND) {
+        ok = true;
+    }
+    else if (status == HTTP_OK) {
+        json = parse_answer(answer, error);
+        ok = json != NULL && decode_value(json, out, error);
+    }
+    json_decref(json);
+    g_free(path);
+    g_byte_array_unref(answer);
+    return ok;
+}
+
+void
+store_value_clear(struct store_value *value)
+{
+    g_free(value->bytes);
+    memset(value, 0, sizeof(*value));
+}
+
+enum store_write
+store_put(struct store *store, const char *key, const char *bytes,
+          size_t count, uint64_t index, GError **error)
+{
+    GByteArray *answer = g_byte_array_new();
+    char *path =
+        g_strdup_printf("/v1/kv/%s?cas=%" G_GUINT64_FORMAT, key, index);
+    enum store_write result = STORE_FAILED;
+    uint32_t status =
+        call(store->writes, "PUT", path, bytes, count, 0, answer, error);
+    json_t *json = NULL;
+
+    if (status == HTTP_OK && (json = parse_answer(answer, error)) != NULL) {
+        result = json_is_true(json) ? STORE_WRITTEN : STORE_CONFLICT;
+    }
+    else if (status == HTTP_NOT_FOUND) {
+        g_set_error(error, store_error_quark(), STORE_ERROR_DOWN,
+                    "the key-value service does not know the path");
+    }
+    json_decref(json);
+    g_free(path);
+    g_byte_array_unref(answer);
+    return result;
+}
+
+static bool
+decode_member(json_t *json, struct member *out)
+{
+    const char *id;
+    const char *ip;
+    const char *data_centre;
+    const char *status;
+    int port;
+
+    if (json_unpack(json, "{s:{s:s, s:s, s:i, s:{s:s}}, s:[{s:s}]}", "Service",
+                    "ID", &id, "Address", &ip, "Port", &port, "Meta",
+                    "data_centre", &data_centre, "Checks", "Status",
+                    &status) != 0 ||
+        port <= 0 || port > UINT16_MAX) {
+        return false;
+    }
+    out->instance = g_strdup(id);
+    out->ip = g_strdup(ip);
+    out->port = (uint16_t)port;
+    out->data_centre = g_strdup(data_centre);
+    out->leaving = strcmp(status, "passing") != 0;
+    return true;
+}
+
+static void
+decode_members(json_t *json, struct member **list, size_t *count)
+{
+    size_t i;
+    json_t *instance;
+
+    *count = 0;
+    *list = g_new0(struct member, json_array_size(json) + 1);
+    json_array_foreach(json, i, instance)
+    {
+        if (decode_member(instance, &(*list)[*count])) {
+            (*count)++;
+        }
+    }
+}
+
+bool
+store_members(struct store *store, const char *service, uint64_t after_index,
+              uint32_t wait_ms, struct member **list, size_t *count,
+              uint64_t *index, GError **error)
+{
+    GByteArray *answer = g_byte_array_new();
+    char *path = g_strdup_printf(
+        "/v1/health/service/%s?index=%" G_GUINT64_FORMAT "&wait=%ums", service,
+        after_index, wait_ms);
+    json_t *json = NULL;
+    bool ok = false;
+    uint32_t status =
+        call(store->reads, "GET", path, NULL, 0, wait_ms, answer, error);
+
+    if (status == HTTP_OK && (json = parse_answer(answer, error)) != NULL) {
+        decode_members(json, list, count);
+        *index = http_session_index(store->reads);
+        ok = true;
+    }
+    else if (status == HTTP_NOT_FOUND) {
+        g_set_error(error, store_error_quark(), STORE_ERROR_UNKNOWN,
+                    "the platform has no such list of instances");
+    }
+    json_decref(json);
+    g_free(path);
+    g_byte_array_unref(answer);
+    return ok;
+}
+
+void
+store_members_free(struct member *list, size_t count)
+{
+    for (size_t i = 0; list != NULL && i < count; i++) {
+        g_free(list[i].instance);
+        g_free(list[i].ip);
+        g_free(list[i].data_centre);
+    }
+    g_free(list);
+}
--- /dev/null
+++ b/tests/check.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Format, lint, and all tests in three builds. Tests that KNOWN-RED.txt lists
+# run last; they are printed and passed over.
+set -eu
+cd "$(dirname "$0")/.."
+JOBS=${JOBS:-$(nproc)}
+known_red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd'|')
+
+make format
+make lint
+
+# run_tests BUILD [CTEST OPTIONS...]
+run_tests() {
+    local build=$1
+    shift
+    ctest --test-dir "$build" --output-on-failure -j "$JOBS" "$@" \
+        ${known_red:+-E "^($known_red)\$"}
+}
+
+# build_with FOLDER SANITIZERS
+build_with() {
+    cmake -S . -B "$1" -G Ninja -DSANITIZE="$2" -DCMAKE_BUILD_TYPE=Debug \
+        >/dev/null
+    ninja -C "$1" -j "$JOBS"
+}
+
+build_with build-asan address,undefined
+build_with build-tsan thread
+run_tests build-asan
+run_tests build-tsan -L threads
+run_tests build
+
+if [ -n "$known_red" ]; then
+    echo "Known to be red, not counted:"
+    ctest --test-dir build -R "^($known_red)\$" || true
+fi
--- /dev/null
+++ b/tests/cluster.sh
@@ -0,0 +1,183 @@
+# Functions to run a small fleet of real processes in a test or demonstration.
+# The sourcing script sets BIN (build folder). Every process is started and
+# reaped here by its process id; waits are for events, never for times.
+
+set -eu
+IP=${IP:-127.0.0.1}
+WORK=$(mktemp -d)
+declare -A PIDS
+declare -A PORTS
+INSTANCES=""
+GENERATION=0
+
+fail() {
+    echo "FAILED: $*" >&2
+    for log in "$WORK"/*.log; do
+        echo "--- ${log##*/}" >&2
+        tail -n 15 "$log" >&2
+    done
+    exit 1
+}
+
+clean_up() {
+    local name
+    for name in "${!PIDS[@]}"; do
+        kill -KILL "${PIDS[$name]}" 2>/dev/null || true
+    done
+    for name in "${!PIDS[@]}"; do
+        wait "${PIDS[$name]}" 2>/dev/null || true
+    done
+    rm -rf "$WORK"
+}
+trap clean_up EXIT
+
+# start NAME COMMAND...: runs it in the background, its output in a log.
+start() {
+    local name=$1
+    shift
+    "$@" >>"$WORK/$name.log" 2>&1 &
+    PIDS[$name]=$!
+}
+
+# reap NAME: waits for its end and gives its status.
+reap() {
+    local status=0
+    wait "${PIDS[$1]}" || status=$?
+    unset "PIDS[$1]"
+    return $status
+}
+
+signal() {
+    kill "-$1" "${PIDS[$2]}"
+}
+
+# kill_hard NAME: SIGKILL, and reaps it.
+kill_hard() {
+    signal KILL "$1"
+    reap "$1" || true
+}
+
+# wait_until COMMAND...: until it succeeds. The bound only ends a hung test.
+wait_until() {
+    local tries=0
+    until "$@" >/dev/null 2>&1; do
+        tries=$((tries + 1))
+        [ "$tries" -lt 3000 ] || fail "never happened: $*"
+        sleep 0.02
+    done
+}
+
+wait_log() {
+    wait_until grep -q -- "$2" "$WORK/$1.log"
+}
+
+# get URL: the body of an answer; curl's options follow.
+get() {
+    curl -s -H 'Expect:' --max-time "${MAX_TIME:-120}" "$@"
+}
+
+json_field() {
+    sed -n "s/.*\"$1\":\"\{0,1\}\([^,\"}]*\).*/\1/p"
+}
+
+start_platform() {
+    PORTS[platform]=7000
+    start platform "$BIN/tests/fake_platform" --ip "$IP" --port 7000
+    wait_log platform ready
+}
+
+platform_control() {
+    curl -s -X PUT "http://$IP:${PORTS[platform]}/control/$1" \
+        "${@:2}" -o /dev/null
+}
+
+# start_engine NAME PORT [ARGUMENTS...]
+start_engine() {
+    PORTS[$1]=$2
+    start "$1" "$BIN/tests/fake_engine" --ip "$IP" --port "$2" "${@:3}"
+    wait_log "$1" ready
+}
+
+start_plain() {
+    PORTS[$1]=$2
+    start "$1" "$BIN/tests/fake_plain" --ip "$IP" --port "$2"
+    wait_log "$1" ready
+}
+
+# agent_settings NAME PORT ENDPOINT DATA_CENTRE [EXTRA LINES]
+agent_settings() {
+    PORTS[$1]=$2
+    cat >"$WORK/$1.ini" <<END
+[agent]
+instance = $1
+data_centre = $4
+listen = $IP:$2
+endpoint = $IP:${PORTS[$3]}
+health_interval = 100ms
+${5:-}
+[platform]
+store = $IP:${PORTS[platform]}
+[log]
+level = debug
+END
+    INSTANCES="$INSTANCES${INSTANCES:+,}$(instance "$1" "$4" passing)"
+}
+
+# instance NAME DATA_CENTRE STATUS: an element of the platform's list.
+instance() {
+    printf '{"Service":{"ID":"%s","Address":"%s","Port":%d,' \
+        "$1" "$IP" "${PORTS[$1]}"
+    printf '"Meta":{"data_centre":"%s"}},"Checks":[{"Status":"%s"}]}' \
+        "$2" "$3"
+}
+
+start_agent() {
+    start "$1" "$BIN/dandelionfork-agent" --settings "$WORK/$1.ini"
+    wait_log "$1" "the endpoint answers"
+}
+
+# list_instances: gives the platform the list as collected so far.
+list_instances() {
+    platform_control instances -d "[$INSTANCES]"
+}
+
+# apply_tables ROUTES_FILE POOLS_FILE: the next generation.
+apply_tables() {
+    GENERATION=$((GENERATION + 1))
+    "$BIN/tests/make_head" "$GENERATION" "$1" "$2" >"$WORK/head.json"
+    curl -s -X PUT --data-binary "@$WORK/head.json" -o /dev/null \
+        "http://$IP:${PORTS[platform]}/v1/kv/dandelionfork/head"
+}
+
+# start_entry NAME PORT DATA_CENTRE [EXTRA LINES]
+start_entry() {
+    PORTS[$1]=$2
+    cat >"$WORK/$1.ini" <<END
+[entry]
+instance = $1
+data_centre = $3
+listen = $IP:$2
+${4:-}
+[platform]
+store = $IP:${PORTS[platform]}
+[log]
+level = debug
+END
+    start "$1" "$BIN/dandelionfork-entry" --settings "$WORK/$1.ini"
+    wait_log "$1" "list of instances taken"
+    wait_until curl -sf "http://$IP:$2/healthz"
+}
+
+# metric ENTRY NAME: a counter's value, 0 if it is not there.
+metric() {
+    get "http://$IP:${PORTS[$1]}/metrics" |
+        awk -v name="$2" '$1 == name { value = $2 } END { print value + 0 }'
+}
+
+# prompt BYTES [MAX_TOKENS] [STREAM]: a completion request's body.
+prompt() {
+    printf '{"model":"savjetnik","max_tokens":%d,"stream":%s,"prompt":"' \
+        "${2:-8}" "${3:-false}"
+    head -c "$1" /dev/zero | tr '\0' "${4:-x}"
+    printf '"}'
+}
--- /dev/null
+++ b/tests/fakes/fake_engine.c
@@ -0,0 +1,414 @@
+/* Stand-in for a model engine: batches continuously, prefills by priority in
+   small steps, holds KV memory per stream, keeps prompt prefixes, streams one
+   token at an interval. The answer is a function of the request alone.
+   DELETE /v1/streams/ID ends a stream; GET /v1/streams lists them;
+   GET /control/stats tells held memory and counts; POST
+   /control/truncate?after=N cuts the next stream after N tokens. */
+
+#include <glib.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "core/message.h"
+#include "entry/prompt.h"
+#include "tests/fakes/fake_server.h"
+
+enum {
+    STEP_MS = 2,
+    US_PER_MS = 1000,
+    EVENT_BYTES = 256
+};
+
+enum {
+    ARG_RATE,
+    ARG_MEMORY,
+    ARG_TOKEN_US,
+    ARG_CACHE,
+    ARG_COUNT
+};
+
+static const char *const argument_names[ARG_COUNT] = {
+    "prefill-rate", "memory-tokens", "token-us", "cache-tokens"};
+
+struct stream {
+    char *id;
+    uint64_t priority;
+    uint64_t hash; /* of the request body: seeds the answer */
+    uint64_t need_tokens;
+    uint64_t prefill_left;
+    uint64_t max_tokens;
+    uint64_t sent_tokens;
+    bool whole; /* not streamed to the caller */
+    bool cancelled;
+    bool done_sent;
+    uint64_t truncate_after;
+    char event[EVENT_BYTES]; /* what is left to send of the last event */
+    size_t event_bytes;
+    size_t event_sent;
+    struct prompt prompt;
+};
+
+struct engine {
+    uint64_t arguments[ARG_COUNT];
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GPtrArray *streams;
+    GHashTable *cached; /* prefix hashes */
+    uint64_t held_tokens;
+    uint64_t refused;
+    uint64_t started;
+    uint64_t cancelled;
+    uint64_t cached_tokens;
+    uint64_t prefilled_tokens;
+    uint64_t truncate_after;
+};
+
+static struct engine engine = {
+    .arguments = {20000, 1200000, 1000, 1000000},
+    .lock = PTHREAD_MUTEX_INITIALIZER,
+    .changed = PTHREAD_COND_INITIALIZER,
+};
+
+static struct stream *
+most_urgent(void)
+{
+    struct stream *best = NULL;
+
+    for (guint i = 0; i < engine.streams->len; i++) {
+        struct stream *stream = g_ptr_array_index(engine.streams, i);
+
+        if (stream->prefill_left > 0 && !stream->cancelled &&
+            (best == NULL || stream->priority < best->priority)) {
+            best = stream;
+        }
+    }
+    return best;
+}
+
+static void
+remember_prefixes(const struct stream *stream)
+{
+    if (g_hash_table_size(engine.cached) >
+        engine.arguments[ARG_CACHE] / 1000) {
+        g_hash_table_remove_all(engine.cached);
+    }
+    for (uint32_t i = 0; i < stream->prompt.prefix_count; i++) {
+        g_hash_table_add(engine.cached,
+                         GSIZE_TO_POINTER(stream->prompt.prefixes[i]));
+    }
+}
+
+static void
+spend_prefill(uint64_t tokens)
+{
+    struct stream *stream;
+
+    engine.prefilled_tokens += tokens;
+    while (tokens > 0 && (stream = most_urgent()) != NULL) {
+        uint64_t part = MIN(tokens, stream->prefill_left);
+
+        stream->prefill_left -= part;
+        tokens -= part;
+        if (stream->prefill_left == 0) {
+            remember_prefixes(stream);
+            pthread_cond_broadcast(&engine.changed);
+        }
+    }
+}
+
+static void *
+prefill(void *data)
+{
+    uint64_t last_ms = fake_clock_ms();
+
+    (void)data;
+    for (;;) {
+        uint64_t now_ms;
+
+        usleep(STEP_MS * US_PER_MS);
+        now_ms = fake_clock_ms();
+        pthread_mutex_lock(&engine.lock);
+        spend_prefill(engine.arguments[ARG_RATE] * (now_ms - last_ms) / 1000);
+        pthread_mutex_unlock(&engine.lock);
+        last_ms = now_ms;
+    }
+    return NULL;
+}
+
+static void
+free_stream(void *data)
+{
+    struct stream *stream = data;
+
+    pthread_mutex_lock(&engine.lock);
+    engine.held_tokens -= stream->need_tokens;
+    g_ptr_array_remove_fast(engine.streams, stream);
+    pthread_mutex_unlock(&engine.lock);
+    prompt_clear(&stream->prompt);
+    g_free(stream->id);
+    g_free(stream);
+}
+
+static bool
+wait_for_prefill(struct stream *stream)
+{
+    bool cancelled;
+
+    pthread_mutex_lock(&engine.lock);
+    while (stream->prefill_left > 0 && !stream->cancelled) {
+        pthread_cond_wait(&engine.changed, &engine.lock);
+    }
+    cancelled = stream->cancelled;
+    pthread_mutex_unlock(&engine.lock);
+    return !cancelled;
+}
+
+static void
+next_event(struct stream *stream)
+{
+    uint64_t token;
+
+    stream->event_sent = 0;
+    if (stream->sent_tokens == stream->max_tokens) {
+        stream->done_sent = true;
+        stream->event_bytes = (size_t)snprintf(
+            stream->event, sizeof(stream->event), "data: [DONE]\n\n");
+        return;
+    }
+    token =
+        XXH64(&stream->sent_tokens, sizeof(stream->sent_tokens), stream->hash);
+    stream->sent_tokens++;
+    stream->event_bytes = (size_t)snprintf(
+        stream->event, sizeof(stream->event),
+        "data: {\"choices\":[{\"index\":0,\"text\":\"%08lx \"}]}\n\n",
+        (unsigned long)(token & 0xffffffffUL));
+}
+
+static ssize_t
+read_stream(void *data, uint64_t position, char *out, size_t max)
+{
+    struct stream *stream = data;
+    size_t count;
+
+    (void)position;
+    if (!wait_for_prefill(stream)) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (stream->event_sent == stream->event_bytes) {
+        if (stream->done_sent) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        if (stream->truncate_after != 0 &&
+            stream->sent_tokens == stream->truncate_after) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        if (stream->sent_tokens > 0) {
+            usleep((useconds_t)engine.arguments[ARG_TOKEN_US]);
+        }
+        next_event(stream);
+    }
+    count = MIN(max, stream->event_bytes - stream->event_sent);
+    memcpy(out, stream->event + stream->event_sent, count);
+    stream->event_sent += count;
+    return (ssize_t)count;
+}
+
+static char *
+whole_answer(const struct stream *stream)
+{
+    GString *text = g_string_new("{\"choices\":[{\"index\":0,\"text\":\"");
+
+    for (uint64_t i = 0; i < stream->max_tokens; i++) {
+        uint64_t token = XXH64(&i, sizeof(i), stream->hash);
+
+        g_string_append_printf(text, "%08lx ",
+                               (unsigned long)(token & 0xffffffffUL));
+    }
+    g_string_append(text, "\"}]}\n");
+    return g_string_free(text, FALSE);
+}
+
+/* With the lock held. */
+static uint64_t
+tokens_to_prefill(const struct stream *stream, uint64_t tokens)
+{
+    for (uint32_t i = 0; i < stream->prompt.prefix_count; i++) {
+        gpointer hash = GSIZE_TO_POINTER(stream->prompt.prefixes[i]);
+
+        if (g_hash_table_contains(engine.cached, hash)) {
+            uint64_t cached =
+                (1024ULL << (stream->prompt.prefix_count - 1 - i)) / 4;
+
+            engine.cached_tokens += MIN(cached, tokens);
+            return tokens - MIN(cached, tokens);
+        }
+    }
+    return tokens;
+}
+
+static struct stream *
+create_stream(const struct fake_request *request, struct fake_answer *answer)
+{
+    struct stream *stream = g_new0(struct stream, 1);
+    const char *id = fake_header(request, "X-Request-Id");
+    const char *priority = fake_header(request, "X-Priority");
+    const char *why = NULL;
+    uint64_t tokens;
+
+    if (!prompt_parse(request->body->data, request->body->len, &stream->prompt,
+                      &why)) {
+        answer->status = MHD_HTTP_BAD_REQUEST;
+        g_free(stream);
+        return NULL;
+    }
+    tokens = prompt_tokens(&stream->prompt, 4);
+    stream->id = g_strdup(id != NULL ? id : "none");
+    stream->priority = priority != NULL ? strtoull(priority, NULL, 10) : 0;
+    stream->hash = XXH64(request->body->data, request->body->len, 0);
+    stream->max_tokens = stream->prompt.max_tokens;
+    stream->need_tokens = tokens + stream->max_tokens;
+    stream->whole = !stream->prompt.streamed;
+    pthread_mutex_lock(&engine.lock);
+    if (engine.held_tokens + stream->need_tokens >
+        engine.arguments[ARG_MEMORY]) {
+        engine.refused++;
+        pthread_mutex_unlock(&engine.lock);
+        answer->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        prompt_clear(&stream->prompt);
+        g_free(stream->id);
+        g_free(stream);
+        return NULL;
+    }
+    engine.held_tokens += stream->need_tokens;
+    engine.started++;
+    stream->prefill_left = tokens_to_prefill(stream, tokens);
+    stream->truncate_after = engine.truncate_after;
+    engine.truncate_after = 0;
+    g_ptr_array_add(engine.streams, stream);
+    pthread_mutex_unlock(&engine.lock);
+    return stream;
+}
+
+static void
+complete(const struct fake_request *request, struct fake_answer *answer)
+{
+    struct stream *stream = create_stream(request, answer);
+
+    if (stream == NULL) {
+        return;
+    }
+    if (!stream->whole) {
+        answer->content_type = "text/event-stream";
+        answer->read = read_stream;
+        answer->free_read = free_stream;
+        answer->read_data = stream;
+        return;
+    }
+    answer->drop = !wait_for_prefill(stream);
+    usleep((useconds_t)(engine.arguments[ARG_TOKEN_US] * stream->max_tokens));
+    answer->content_type = "application/json";
+    answer->body = whole_answer(stream);
+    free_stream(stream);
+}
+
+static void
+cancel(const char *id, struct fake_answer *answer)
+{
+    answer->status = MHD_HTTP_NOT_FOUND;
+    pthread_mutex_lock(&engine.lock);
+    for (guint i = 0; i < engine.streams->len; i++) {
+        struct stream *stream = g_ptr_array_index(engine.streams, i);
+
+        if (strcmp(stream->id, id) == 0) {
+            stream->cancelled = true;
+            engine.cancelled++;
+            answer->status = MHD_HTTP_OK;
+        }
+    }
+    pthread_cond_broadcast(&engine.changed);
+    pthread_mutex_unlock(&engine.lock);
+}
+
+static void
+list_streams(struct fake_answer *answer)
+{
+    json_t *list = json_array();
+
+    pthread_mutex_lock(&engine.lock);
+    for (guint i = 0; i < engine.streams->len; i++) {
+        const struct stream *stream = g_ptr_array_index(engine.streams, i);
+
+        json_array_append_new(list, json_pack("{s:s}", "id", stream->id));
+    }
+    pthread_mutex_unlock(&engine.lock);
+    answer->content_type = "application/json";
+    answer->body = json_dumps(list, JSON_COMPACT);
+    json_decref(list);
+}
+
+static void
+tell_stats(struct fake_answer *answer)
+{
+    pthread_mutex_lock(&engine.lock);
+    answer->body = g_strdup_printf(
+        "{\"held_tokens\":%lu,\"streams\":%u,\"started\":%lu,"
+        "\"refused\":%lu,\"cancelled\":%lu,\"cached_tokens\":%lu}\n",
+        (unsigned long)engine.held_tokens, engine.streams->len,
+        (unsigned long)engine.started, (unsigned long)engine.refused,
+        (unsigned long)engine.cancelled, (unsigned long)engine.cached_tokens);
+    pthread_mutex_unlock(&engine.lock);
+}
+
+static void
+handle(void *data, const struct fake_request *request,
+       struct fake_answer *answer)
+{
+    static const char streams_path[] = "/v1/streams";
+    const char *path = request->path;
+
+    (void)data;
+    if (strcmp(path, "/health") == 0) {
+        answer->body = g_strdup("ok\n");
+    }
+    else if (strcmp(path, "/control/stats") == 0) {
+        tell_stats(answer);
+    }
+    else if (strcmp(path, "/control/truncate") == 0) {
+        engine.truncate_after = fake_query(request, "after", 1);
+    }
+    else if (strcmp(path, streams_path) == 0) {
+        list_streams(answer);
+    }
+    else if (g_str_has_prefix(path, streams_path) &&
+             strcmp(request->method, "DELETE") == 0) {
+        cancel(path + strlen(streams_path) + 1, answer);
+    }
+    else if (strcmp(path, "/v1/completions") == 0 ||
+             strcmp(path, "/v1/chat/completions") == 0) {
+        complete(request, answer);
+    }
+    else {
+        answer->status = MHD_HTTP_NOT_FOUND;
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct fake_address address = fake_arguments(argc, argv, argument_names,
+                                                 engine.arguments, ARG_COUNT);
+    pthread_t thread;
+
+    engine.streams = g_ptr_array_new();
+    engine.cached = g_hash_table_new(NULL, NULL);
+    if (pthread_create(&thread, NULL, prefill, NULL) != 0) {
+        return EXIT_FAILURE;
+    }
+    return fake_serve(&address, handle, NULL);
+}
--- /dev/null
+++ b/tests/fakes/fake_platform.c
@@ -0,0 +1,267 @@
+/* Stand-in for the platform's service: keys with compare-and-swap and waiting
+   reads, and the list of instances. Its faults are set over /control:
+   PUT /control/instances (a JSON list), POST /control/down?on=1,
+   /control/slow?ms=N, /control/lose?writes=N (the next N writes take effect
+   and their replies are lost), GET /control/calls. */
+
+#include <glib.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "tests/fakes/fake_server.h"
+
+enum {
+    LONGEST_WAIT_MS = 600000,
+    US_PER_MS = 1000
+};
+
+struct key {
+    GByteArray *value;
+    uint64_t index;
+};
+
+struct platform {
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GHashTable *keys; /* name to struct key */
+    char *instances;
+    uint64_t instances_index;
+    uint64_t index;
+    bool down;
+    uint64_t slow_ms;
+    uint64_t lose_writes;
+    uint64_t reads;
+    uint64_t writes;
+};
+
+static bool
+wait_until(struct platform *platform, uint64_t end_ms)
+{
+    struct timespec until;
+    uint64_t now_ms = fake_clock_ms();
+
+    if (now_ms >= end_ms || platform->down) {
+        return false;
+    }
+    clock_gettime(CLOCK_REALTIME, &until);
+    until.tv_sec += (time_t)((end_ms - now_ms) / 1000 + 1);
+    pthread_cond_timedwait(&platform->changed, &platform->lock, &until);
+    return true;
+}
+
+static uint64_t
+wait_end_ms(const struct fake_request *request)
+{
+    uint64_t wait_ms = fake_query(request, "wait", 0);
+
+    return fake_clock_ms() + MIN(wait_ms, LONGEST_WAIT_MS);
+}
+
+static uint64_t
+index_of(const struct platform *platform, const char *name)
+{
+    const struct key *key = g_hash_table_lookup(platform->keys, name);
+
+    return key != NULL ? key->index : 0;
+}
+
+static void
+get_key(struct platform *platform, const struct fake_request *request,
+        const char *name, struct fake_answer *answer)
+{
+    uint64_t after = fake_query(request, "index", 0);
+    uint64_t end_ms = wait_end_ms(request);
+    const struct key *key;
+    char *encoded;
+
+    platform->reads++;
+    while (fake_has_query(request, "index") &&
+           index_of(platform, name) == after && wait_until(platform, end_ms)) {
+    }
+    if (platform->down) {
+        answer->drop = true;
+        return;
+    }
+    key = g_hash_table_lookup(platform->keys, name);
+    answer->index = MAX(platform->index, 1);
+    if (key == NULL) {
+        answer->status = MHD_HTTP_NOT_FOUND;
+        return;
+    }
+    encoded = g_base64_encode(key->value->data, key->value->len);
+    answer->index = key->index;
+    answer->body = g_strdup_printf(
+        "[{\"Key\":\"%s\",\"Value\":\"%s\",\"ModifyIndex\":%lu}]", name,
+        encoded, (unsigned long)key->index);
+    g_free(encoded);
+}
+
+static void
+put_key(struct platform *platform, const struct fake_request *request,
+        const char *name, struct fake_answer *answer)
+{
+    struct key *key = g_hash_table_lookup(platform->keys, name);
+
+    platform->writes++;
+    if (fake_has_query(request, "cas") &&
+        fake_query(request, "cas", 0) != index_of(platform, name)) {
+        answer->body = g_strdup("false");
+        return;
+    }
+    if (key == NULL) {
+        key = g_new0(struct key, 1);
+        key->value = g_byte_array_new();
+        g_hash_table_insert(platform->keys, g_strdup(name), key);
+    }
+    g_byte_array_set_size(key->value, 0);
+    g_byte_array_append(key->value, request->body->data, request->body->len);
+    key->index = ++platform->index;
+    pthread_cond_broadcast(&platform->changed);
+    answer->body = g_strdup("true");
+    if (platform->lose_writes > 0) {
+        platform->lose_writes--;
+        answer->drop = true;
+    }
+}
+
+static void
+delete_key(struct platform *platform, const char *name,
+           struct fake_answer *answer)
+{
+    platform->writes++;
+    g_hash_table_remove(platform->keys, name);
+    platform->index++;
+    pthread_cond_broadcast(&platform->changed);
+    answer->body = g_strdup("true");
+}
+
+static void
+list_instances(struct platform *platform, const struct fake_request *request,
+               struct fake_answer *answer)
+{
+    uint64_t after = fake_query(request, "index", 0);
+    uint64_t end_ms = wait_end_ms(request);
+
+    platform->reads++;
+    while (platform->instances_index == after &&
+           wait_until(platform, end_ms)) {
+    }
+    if (platform->down) {
+        answer->drop = true;
+        return;
+    }
+    answer->body = g_strdup(platform->instances);
+    answer->index = platform->instances_index;
+}
+
+static void
+control(struct platform *platform, const struct fake_request *request,
+        const char *what, struct fake_answer *answer)
+{
+    if (strcmp(what, "instances") == 0) {
+        g_free(platform->instances);
+        platform->instances =
+            g_strndup((const char *)request->body->data, request->body->len);
+        platform->instances_index++;
+    }
+    else if (strcmp(what, "down") == 0) {
+        platform->down = fake_query(request, "on", 1) != 0;
+    }
+    else if (strcmp(what, "slow") == 0) {
+        platform->slow_ms = fake_query(request, "ms", 0);
+    }
+    else if (strcmp(what, "lose") == 0) {
+        platform->lose_writes = fake_query(request, "writes", 1);
+    }
+    else if (strcmp(what, "calls") == 0) {
+        answer->body = g_strdup_printf("{\"reads\":%lu,\"writes\":%lu}\n",
+                                       (unsigned long)platform->reads,
+                                       (unsigned long)platform->writes);
+    }
+    else {
+        answer->status = MHD_HTTP_NOT_FOUND;
+    }
+    pthread_cond_broadcast(&platform->changed);
+}
+
+static void
+serve_platform(struct platform *platform, const struct fake_request *request,
+               struct fake_answer *answer)
+{
+    const char *path = request->path;
+
+    if (platform->down) {
+        answer->drop = true;
+    }
+    else if (g_str_has_prefix(path, "/v1/kv/")) {
+        const char *name = path + strlen("/v1/kv/");
+
+        if (strcmp(request->method, "PUT") == 0) {
+            put_key(platform, request, name, answer);
+        }
+        else if (strcmp(request->method, "DELETE") == 0) {
+            delete_key(platform, name, answer);
+        }
+        else {
+            get_key(platform, request, name, answer);
+        }
+    }
+    else if (g_str_has_prefix(path, "/v1/health/service/")) {
+        list_instances(platform, request, answer);
+    }
+    else {
+        answer->status = MHD_HTTP_NOT_FOUND;
+    }
+}
+
+static void
+handle(void *data, const struct fake_request *request,
+       struct fake_answer *answer)
+{
+    struct platform *platform = data;
+    uint64_t slow_ms;
+
+    pthread_mutex_lock(&platform->lock);
+    if (g_str_has_prefix(request->path, "/control/")) {
+        control(platform, request, request->path + strlen("/control/"),
+                answer);
+        slow_ms = 0;
+    }
+    else {
+        serve_platform(platform, request, answer);
+        slow_ms = platform->slow_ms;
+    }
+    pthread_mutex_unlock(&platform->lock);
+    usleep((useconds_t)slow_ms * US_PER_MS);
+}
+
+static void
+free_key(gpointer data)
+{
+    struct key *key = data;
+
+    g_byte_array_unref(key->value);
+    g_free(key);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct fake_address address;
+    static struct platform platform = {
+        .lock = PTHREAD_MUTEX_INITIALIZER,
+        .changed = PTHREAD_COND_INITIALIZER,
+    };
+
+    platform.keys =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_key);
+    platform.instances = g_strdup("[]");
+    platform.instances_index = 1;
+    address = fake_arguments(argc, argv, NULL, NULL, 0);
+    return fake_serve(&address, handle, &platform);
+}
--- /dev/null
+++ b/tests/fakes/fake_server.c
@@ -0,0 +1,212 @@
+#include "tests/fakes/fake_server.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <microhttpd.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+enum {
+    STREAM_BLOCK_BYTES = 4096,
+    EXIT_USAGE = 2
+};
+
+struct server {
+    void (*handler)(void *data, const struct fake_request *request,
+                    struct fake_answer *answer);
+    void *data;
+};
+
+uint64_t
+fake_clock_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static bool
+take_argument(const char *name, const char *text, const char *const *names,
+              uint64_t *values, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            values[i] = strtoull(text, NULL, 10);
+            return true;
+        }
+    }
+    return false;
+}
+
+struct fake_address
+fake_arguments(int argc, char **argv, const char *const *names,
+               uint64_t *values, size_t count)
+{
+    struct fake_address address = {"127.0.0.1", 0};
+
+    for (int i = 1; i + 1 < argc; i += 2) {
+        const char *name = argv[i] + strspn(argv[i], "-");
+
+        if (strcmp(name, "port") == 0) {
+            address.port = (uint16_t)strtoul(argv[i + 1], NULL, 10);
+        }
+        else if (strcmp(name, "ip") == 0) {
+            g_strlcpy(address.ip, argv[i + 1], sizeof(address.ip));
+        }
+        else if (!take_argument(name, argv[i + 1], names, values, count)) {
+            fprintf(stderr, "unknown argument %s\n", argv[i]);
+            exit(EXIT_USAGE);
+        }
+    }
+    if (address.port == 0) {
+        fprintf(stderr, "--port is missing\n");
+        exit(EXIT_USAGE);
+    }
+    return address;
+}
+
+const char *
+fake_header(const struct fake_request *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection, MHD_HEADER_KIND,
+                                       name);
+}
+
+bool
+fake_has_query(const struct fake_request *request, const char *name)
+{
+    return MHD_lookup_connection_value(request->connection,
+                                       MHD_GET_ARGUMENT_KIND, name) != NULL;
+}
+
+uint64_t
+fake_query(const struct fake_request *request, const char *name,
+           uint64_t otherwise)
+{
+    const char *text = MHD_lookup_connection_value(
+        request->connection, MHD_GET_ARGUMENT_KIND, name);
+
+    return text != NULL ? strtoull(text, NULL, 10) : otherwise;
+}
+
+static enum MHD_Result
+send_answer(const struct fake_request *request,
+            const struct fake_answer *answer)
+{
+    struct MHD_Response *response;
+    enum MHD_Result result;
+    char index[32];
+
+    if (answer->drop) {
+        free(answer->body);
+        return MHD_NO;
+    }
+    if (answer->read != NULL) {
+        response = MHD_create_response_from_callback(
+            MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, answer->read,
+            answer->read_data, answer->free_read);
+    }
+    else {
+        response = MHD_create_response_from_buffer(
+            answer->body != NULL ? strlen(answer->body) : 0, answer->body,
+            MHD_RESPMEM_MUST_FREE);
+    }
+    if (answer->content_type != NULL) {
+        MHD_add_response_header(response, "Content-Type",
+                                answer->content_type);
+    }
+    if (answer->index != 0) {
+        snprintf(index, sizeof(index), "%lu", (unsigned long)answer->index);
+        MHD_add_response_header(response, "X-Consul-Index", index);
+    }
+    result = MHD_queue_response(request->connection, answer->status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result
+on_access(void *data, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *upload,
+          size_t *upload_bytes, void **place)
+{
+    struct server *server = data;
+    struct fake_request *request = *place;
+    struct fake_answer answer = {.status = MHD_HTTP_OK};
+
+    (void)version;
+    if (request == NULL) {
+        request = g_new0(struct fake_request, 1);
+        request->connection = connection;
+        request->method = g_strdup(method);
+        request->path = g_strdup(url);
+        request->body = g_byte_array_new();
+        *place = request;
+        return MHD_YES;
+    }
+    if (*upload_bytes > 0) {
+        g_byte_array_append(request->body, (const guint8 *)upload,
+                            (guint)*upload_bytes);
+        *upload_bytes = 0;
+        return MHD_YES;
+    }
+    server->handler(server->data, request, &answer);
+    return send_answer(request, &answer);
+}
+
+static void
+on_completed(void *data, struct MHD_Connection *connection, void **place,
+             enum MHD_RequestTerminationCode code)
+{
+    struct fake_request *request = *place;
+
+    (void)data;
+    (void)connection;
+    (void)code;
+    if (request != NULL) {
+        g_free(request->method);
+        g_free(request->path);
+        g_byte_array_unref(request->body);
+        g_free(request);
+    }
+}
+
+int
+fake_serve(const struct fake_address *address,
+           void (*handler)(void *data, const struct fake_request *request,
+                           struct fake_answer *answer),
+           void *data)
+{
+    struct server server = {handler, data};
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons(address->port)};
+    struct MHD_Daemon *daemon;
+    sigset_t set;
+    int signal_number;
+
+    inet_pton(AF_INET, address->ip, &at.sin_addr);
+    signal(SIGPIPE, SIG_IGN);
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    daemon = MHD_start_daemon(
+        MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
+        address->port, NULL, NULL, on_access, &server, MHD_OPTION_SOCK_ADDR,
+        &at, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        1024U, MHD_OPTION_CONNECTION_LIMIT, 4096U,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)256 * 1024, MHD_OPTION_END);
+    if (daemon == NULL) {
+        fprintf(stderr, "can't listen on %s:%u\n", address->ip, address->port);
+        return EXIT_FAILURE;
+    }
+    printf("ready\n");
+    fflush(stdout);
+    sigwait(&set, &signal_number);
+    /* Handlers may be blocked: the process just ends. */
+    _exit(EXIT_SUCCESS);
+}
