Promises proved: golden sessions, random frames, process failures, ablations

Cause: the thin path had no proof of what must always hold. Idempotency keys are claimed by compare-and-swap just before the grant; a repeat joins the work through any entry.

The agent now remembers the highest forgotten request per entry, apart for what can be repeated. - After a failure the broken endpoint was the quickest to offer again and used up all attempts (engine_dead: 503). Nodes that broke a request come last, and an agent that can't reach its endpoint offers nothing until the next good health check.

Narrowed: the dispatch test does not send a reservation again after its record's time.

--- a/agent/health.c
+++ b/agent/health.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <unistd.h>
 
 #include "io/http_call.h"
@@ -26,7 +27,7 @@
     char *path;
     uint64_t interval_ms;
     uint32_t failures;
-    bool healthy;
+    _Atomic bool healthy;
     bool released;
     void (*changed)(void *data, bool healthy, uint64_t now_ms);
     void *data;
@@ -128,7 +129,7 @@
     return NULL;
 }
 
-void
+struct health *
 health_start(struct loop *loop, const struct health_target *target,
              void (*changed)(void *data, bool healthy, uint64_t now_ms),
              void *data)
@@ -147,4 +148,11 @@
         g_error("no thread for the health checks");
     }
     pthread_detach(thread);
+    return health;
+}
+
+void
+health_doubt(struct health *health)
+{
+    atomic_store(&health->healthy, false);
 }
--- a/agent/health.h
+++ b/agent/health.h
@@ -19,8 +19,13 @@
 };
 
 /* changed runs on the loop thread; the state is unhealthy at first. */
-void health_start(struct loop *loop, const struct health_target *target,
-                  void (*changed)(void *data, bool healthy, uint64_t now_ms),
-                  void *data);
+struct health *
+health_start(struct loop *loop, const struct health_target *target,
+             void (*changed)(void *data, bool healthy, uint64_t now_ms),
+             void *data);
+
+/* A call found the endpoint unreachable: it counts as unhealthy until the next
+   check succeeds, which is then reported. Any thread. */
+void health_doubt(struct health *health);
 
 #endif
--- a/agent/main.c
+++ b/agent/main.c
@@ -37,6 +37,7 @@
     struct prefix_cache *cache;
     uint64_t bytes_per_token;
     struct endpoint_calls *calls;
+    struct health *health;
     struct loop_timer *due_timer;
     struct loop_timer *alive_timer;
     struct loop_timer *drain_timer;
@@ -158,6 +159,10 @@
 {
     struct agent *agent = data;
 
+    if (outcome == OUTCOME_NOT_RUN && reason == REASON_ENDPOINT_FAILED) {
+        health_doubt(agent->health);
+        dispatch_set_healthy(agent->dispatch, false, now_ms);
+    }
     dispatch_finished(agent->dispatch, work, outcome, reason, now_ms);
 }
 
@@ -432,7 +437,7 @@
     agent->calls = endpoint_calls_create(
         agent->loop, agent->settings.endpoint.ip,
         agent->settings.endpoint.port, &call_handlers, agent);
-    health_start(agent->loop, &target, on_health, agent);
+    agent->health = health_start(agent->loop, &target, on_health, agent);
     platform_watch_start(agent->loop, agent->platform.store.ip,
                          agent->platform.store.port, agent->platform.service,
                          &platform_handlers, agent);
--- a/core/binding.c
+++ b/core/binding.c
@@ -44,10 +44,15 @@
     struct candidate candidates[BINDING_MAX_CANDIDATES];
     size_t candidate_count;
     size_t used_count;
+    uint32_t failed[BINDING_MAX_CANDIDATES]; /* nodes that broke it */
+    size_t failed_count;
     enum reason refusal; /* the one that says most */
     uint32_t retry_after_ms;
 
+    uint32_t offered_node; /* whose offer waits for its claim */
+    uint64_t offered_incarnation;
     uint32_t bound_node;
+    uint32_t bound_attempt; /* another request's, if joined */
     uint64_t bound_incarnation;
     uint64_t lost_ms; /* when the link went away, 0 if it is there */
     bool has_head;
@@ -94,6 +99,12 @@
     return binding->attempt;
 }
 
+uint32_t
+binding_bound_attempt(const struct binding *binding)
+{
+    return binding->bound_attempt;
+}
+
 bool
 binding_bound_node(const struct binding *binding, uint32_t *node)
 {
@@ -235,11 +246,52 @@
                                            : binding->refusal);
 }
 
+static bool
+has_failed(const struct binding *binding, uint32_t node)
+{
+    for (size_t i = 0; i < binding->failed_count; i++) {
+        if (binding->failed[i] == node) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+note_failed(struct binding *binding, uint32_t node)
+{
+    if (!has_failed(binding, node) &&
+        binding->failed_count < BINDING_MAX_CANDIDATES) {
+        binding->failed[binding->failed_count++] = node;
+    }
+}
+
+/* Keeps the order otherwise. Returns how many have not failed. */
+static size_t
+put_failed_last(const struct binding *binding, uint32_t *nodes, size_t count)
+{
+    uint32_t last[BINDING_MAX_CANDIDATES];
+    size_t last_count = 0;
+    size_t kept = 0;
+
+    for (size_t i = 0; i < count; i++) {
+        if (has_failed(binding, nodes[i])) {
+            last[last_count++] = nodes[i];
+        }
+        else {
+            nodes[kept++] = nodes[i];
+        }
+    }
+    memcpy(nodes + kept, last, last_count * sizeof(*last));
+    return kept;
+}
+
 static void
 begin_attempt(struct binding *binding, uint64_t now_ms)
 {
     uint32_t nodes[BINDING_MAX_CANDIDATES];
     size_t max = MIN(binding->settings.max_candidates, BINDING_MAX_CANDIDATES);
+    size_t sound_count;
 
     binding->state = BINDING_OPEN;
     binding->attempt++;
@@ -248,11 +300,17 @@
     binding->lost_ms = 0;
     binding->candidate_count = binding->ops.candidates(
         binding->context, binding->attempt, nodes, max);
+    sound_count = put_failed_last(binding, nodes, binding->candidate_count);
     for (size_t i = 0; i < binding->candidate_count; i++) {
         binding->candidates[i].node = nodes[i];
         binding->candidates[i].state = CANDIDATE_UNUSED;
     }
-    widen(binding, binding->settings.first_candidates, now_ms);
+    /* A node that broke this request is asked again only if the others have
+       no room soon: it might be the quickest to offer. */
+    widen(
+        binding,
+        (uint32_t)MIN(binding->settings.first_candidates, MAX(sound_count, 1)),
+        now_ms);
     if (reserved_count(binding) == 0) {
         look_further(binding, now_ms);
     }
@@ -275,23 +333,6 @@
     binding->ops.restart(binding->context);
 }
 
-void
-binding_join(struct binding *binding, uint32_t node, uint32_t attempt,
-             uint64_t incarnation, bool reachable, uint64_t now_ms)
-{
-    if (binding->state == BINDING_IDLE) {
-        binding->deadline_ms = now_ms + binding->request.time_limit_ms;
-    }
-    binding->state = BINDING_BOUND;
-    binding->attempt = attempt;
-    binding->bound_node = node;
-    binding->bound_incarnation = incarnation;
-    binding->lost_ms = now_ms;
-    if (reachable) {
-        binding_link_up(binding, node, incarnation, now_ms);
-    }
-}
-
 /* What can be said of bound work that has not ended in order. */
 static enum outcome
 bound_outcome(const struct binding *binding)
@@ -307,6 +348,7 @@
 {
     bool safe = outcome == OUTCOME_NOT_RUN || binding->request.repeatable;
 
+    note_failed(binding, binding->bound_node);
     if (safe && !binding->delivered && now_ms < binding->deadline_ms &&
         binding->attempt < binding->settings.max_attempts &&
         binding->ops.may_retry(binding->context)) {
@@ -321,6 +363,9 @@
 grant(struct binding *binding, uint64_t now_ms)
 {
     binding->state = BINDING_BOUND;
+    binding->bound_node = binding->offered_node;
+    binding->bound_incarnation = binding->offered_incarnation;
+    binding->bound_attempt = binding->attempt;
     binding->ops.grant(binding->context, binding->bound_node, binding->attempt,
                        budget_ms(binding, now_ms));
 }
@@ -345,19 +390,20 @@
     if (binding->state != BINDING_OPEN ||
         message->attempt != binding->attempt || candidate == NULL ||
         candidate->state != CANDIDATE_RESERVED) {
-        bool is_bound_one = (binding->state == BINDING_BOUND ||
-                             binding->state == BINDING_CLAIMING) &&
-                            node == binding->bound_node &&
-                            message->attempt == binding->attempt;
+        bool is_granted = node == binding->bound_node &&
+                          message->attempt == binding->bound_attempt;
+        bool is_claimed = binding->state == BINDING_CLAIMING &&
+                          node == binding->offered_node &&
+                          message->attempt == binding->attempt;
 
-        if (!is_bound_one) {
+        if (!is_granted && !is_claimed) {
             binding->ops.withdraw(binding->context, node, message->attempt);
         }
         return;
     }
     withdraw_all_but(binding, candidate);
-    binding->bound_node = node;
-    binding->bound_incarnation = incarnation;
+    binding->offered_node = node;
+    binding->offered_incarnation = incarnation;
     if (binding->request.keyed) {
         binding->state = BINDING_CLAIMING;
         binding->ops.claim(binding->context, node, binding->attempt);
@@ -429,7 +475,7 @@
 {
     if (binding->state != BINDING_BOUND || node != binding->bound_node ||
         incarnation != binding->bound_incarnation ||
-        message->attempt != binding->attempt) {
+        message->attempt != binding->bound_attempt) {
         return;
     }
     binding->lost_ms = 0;
@@ -471,6 +517,38 @@
     }
 }
 
+static void
+give_offer_back(struct binding *binding)
+{
+    binding->ops.withdraw(binding->context, binding->offered_node,
+                          binding->attempt);
+}
+
+void
+binding_join(struct binding *binding, uint32_t node, uint32_t attempt,
+             uint64_t incarnation, uint64_t now_ms)
+{
+    if (binding->state != BINDING_CLAIMING) {
+        return;
+    }
+    give_offer_back(binding);
+    binding->state = BINDING_BOUND;
+    binding->attempt = MAX(binding->attempt, attempt);
+    binding->bound_attempt = attempt;
+    binding->bound_node = node;
+    binding->bound_incarnation = incarnation;
+    binding->lost_ms = MAX(now_ms, 1);
+}
+
+void
+binding_join_lost(struct binding *binding)
+{
+    if (binding->state == BINDING_CLAIMING) {
+        give_offer_back(binding);
+        finish(binding, OUTCOME_UNKNOWN, REASON_LINK_LOST);
+    }
+}
+
 void
 binding_claimed(struct binding *binding, bool ours, enum reason reason,
                 uint64_t now_ms)
@@ -479,8 +557,7 @@
         return;
     }
     if (!ours) {
-        binding->ops.withdraw(binding->context, binding->bound_node,
-                              binding->attempt);
+        give_offer_back(binding);
         finish(binding, OUTCOME_NOT_RUN, reason);
         return;
     }
@@ -506,28 +583,36 @@
     }
 }
 
+/* Leaves the bound node alone; it may still have the work. */
+static void
+give_up_bound(struct binding *binding, uint64_t now_ms)
+{
+    binding->ops.cancel(binding->context, binding->bound_node,
+                        binding->bound_attempt);
+    fail_attempt(binding, bound_outcome(binding), REASON_LINK_LOST, now_ms);
+}
+
 void
 binding_link_down(struct binding *binding, uint32_t node, uint64_t now_ms)
 {
+    bool is_bound =
+        binding->state == BINDING_BOUND && node == binding->bound_node;
+    bool is_claimed =
+        binding->state == BINDING_CLAIMING && node == binding->offered_node;
+
     if (binding->state == BINDING_OPEN) {
         lose_candidate(binding, node, REASON_LINK_LOST, now_ms);
     }
-    else if ((binding->state == BINDING_BOUND ||
-              binding->state == BINDING_CLAIMING) &&
-             node == binding->bound_node && binding->lost_ms == 0) {
+    else if (is_bound && binding->lost_ms != 0 &&
+             binding->request.repeatable && !binding->delivered) {
+        /* Connecting again has failed too. */
+        give_up_bound(binding, now_ms);
+    }
+    else if ((is_bound || is_claimed) && binding->lost_ms == 0) {
         binding->lost_ms = MAX(now_ms, 1);
     }
 }
 
-/* Leaves the bound node alone; it may still have the work. */
-static void
-give_up_bound(struct binding *binding, uint64_t now_ms)
-{
-    binding->ops.cancel(binding->context, binding->bound_node,
-                        binding->attempt);
-    fail_attempt(binding, bound_outcome(binding), REASON_LINK_LOST, now_ms);
-}
-
 void
 binding_link_silent(struct binding *binding, uint32_t node, uint64_t now_ms)
 {
@@ -561,7 +646,7 @@
         return;
     }
     binding->lost_ms = 0;
-    binding->ops.resume(binding->context, node, binding->attempt,
+    binding->ops.resume(binding->context, node, binding->bound_attempt,
                         binding->received_bytes);
 }
 
@@ -587,12 +672,11 @@
         withdraw_all_but(binding, NULL);
         break;
     case BINDING_CLAIMING:
-        binding->ops.withdraw(binding->context, binding->bound_node,
-                              binding->attempt);
+        give_offer_back(binding);
         break;
     case BINDING_BOUND:
         binding->ops.cancel(binding->context, binding->bound_node,
-                            binding->attempt);
+                            binding->bound_attempt);
         break;
     case BINDING_IDLE:
     case BINDING_PAUSED:
--- a/core/binding.h
+++ b/core/binding.h
@@ -78,16 +78,21 @@
 
 void binding_start(struct binding *binding, uint64_t now_ms);
 
-/* Joins work that another request with the same key has granted. */
+/* The claim belongs to another request with the same key: gives the offer
+   back and joins the work granted there, to get the same answer. If that work
+   proves not to have run, the binding goes on with attempts of its own. */
 void binding_join(struct binding *binding, uint32_t node, uint32_t attempt,
-                  uint64_t incarnation, bool reachable, uint64_t now_ms);
+                  uint64_t incarnation, uint64_t now_ms);
+
+/* The work of the other request can't be asked about: its agent is gone. */
+void binding_join_lost(struct binding *binding);
 
 /* A frame from the agent of a node; incarnation is that agent's. */
 void binding_message(struct binding *binding, uint32_t node,
                      uint64_t incarnation, const struct message *message,
                      uint64_t now_ms);
 
-/* The result of a claim: ours, or a final result instead. */
+/* The result of a claim: ours, or a final refusal with a reason. */
 void binding_claimed(struct binding *binding, bool ours, enum reason reason,
                      uint64_t now_ms);
 
@@ -113,6 +118,8 @@
 
 bool binding_is_done(const struct binding *binding);
 uint32_t binding_attempt(const struct binding *binding);
+/* The attempt that was granted; another request's if it was joined. */
+uint32_t binding_bound_attempt(const struct binding *binding);
 /* The node the request is bound to; false if none. */
 bool binding_bound_node(const struct binding *binding, uint32_t *node);
 /* Bytes of the answer that have come, for credits. */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -24,9 +24,10 @@
     GHashTable *works; /* struct work, by id and attempt */
     GSequence *due;    /* struct work, the one due first in front */
     /* By entry incarnation, the highest request counter whose record was
-       forgotten: what isn't known up to it may have run. */
-    GHashTable *forgotten;
-    bool forgot_entries; /* the table was full once and emptied */
+       forgotten: what isn't known up to it may have run. Apart for what can
+       be repeated, whose records go much sooner. */
+    GHashTable *forgotten[2];
+    bool forgot_entries; /* a table was full once and emptied */
     char *pool;          /* NULL: in none */
     uint64_t generation;
     bool healthy;
@@ -76,8 +77,10 @@
     dispatch->works =
         g_hash_table_new_full(work_hash, work_equal, NULL, free_work);
     dispatch->due = g_sequence_new(NULL);
-    dispatch->forgotten =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    for (int i = 0; i < 2; i++) {
+        dispatch->forgotten[i] =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    }
     dispatch->healthy = true;
     return dispatch;
 }
@@ -90,7 +93,8 @@
     }
     work_queue_destroy(dispatch->queue);
     g_sequence_free(dispatch->due);
-    g_hash_table_destroy(dispatch->forgotten);
+    g_hash_table_destroy(dispatch->forgotten[0]);
+    g_hash_table_destroy(dispatch->forgotten[1]);
     g_hash_table_destroy(dispatch->works);
     g_free(dispatch->pool);
     g_free(dispatch);
@@ -187,39 +191,35 @@
 static void
 forget(struct dispatch *dispatch, struct work *work)
 {
+    GHashTable *forgotten = dispatch->forgotten[work->repeatable];
     int64_t incarnation = (int64_t)work->id.incarnation;
-    uint64_t *counter = g_hash_table_lookup(dispatch->forgotten, &incarnation);
+    uint64_t *counter = g_hash_table_lookup(forgotten, &incarnation);
 
-    if (work->repeatable && work->acknowledged) {
-        remove_work(dispatch, work);
-        return;
-    }
     if (counter == NULL) {
-        if (g_hash_table_size(dispatch->forgotten) >= MAX_FORGOTTEN_ENTRIES) {
-            g_hash_table_remove_all(dispatch->forgotten);
+        if (g_hash_table_size(forgotten) >= MAX_FORGOTTEN_ENTRIES) {
+            g_hash_table_remove_all(forgotten);
             dispatch->forgot_entries = true;
         }
         counter = g_new0(uint64_t, 1);
-        g_hash_table_insert(dispatch->forgotten,
-                            g_memdup2(&incarnation, sizeof(incarnation)),
-                            counter);
+        g_hash_table_insert(
+            forgotten, g_memdup2(&incarnation, sizeof(incarnation)), counter);
     }
     *counter = MAX(*counter, work->id.counter);
     remove_work(dispatch, work);
 }
 
-/* Whether a request without a record was certainly never started here. */
+/* Whether work without a record was certainly never started here. */
 static bool
-never_started(const struct dispatch *dispatch, struct request_id id)
+never_started(const struct dispatch *dispatch, const struct work *work)
 {
-    int64_t incarnation = (int64_t)id.incarnation;
-    const uint64_t *counter =
-        g_hash_table_lookup(dispatch->forgotten, &incarnation);
+    int64_t incarnation = (int64_t)work->id.incarnation;
+    const uint64_t *counter = g_hash_table_lookup(
+        dispatch->forgotten[work->repeatable], &incarnation);
 
     if (counter == NULL) {
         return !dispatch->forgot_entries;
     }
-    return id.counter > *counter;
+    return work->id.counter > *counter;
 }
 
 static void
@@ -314,7 +314,7 @@
 {
     struct work *work = work_create(message, link, now_ms);
     enum outcome outcome =
-        never_started(dispatch, work->id) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+        never_started(dispatch, work) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
 
     add_work(dispatch, work);
     end_work(dispatch, work, outcome, reason, now_ms);
@@ -423,6 +423,53 @@
     work_queue_add(dispatch->queue, work);
 }
 
+static void
+stop_running(struct dispatch *dispatch, struct work *work, enum reason reason,
+             uint64_t now_ms)
+{
+    dispatch->counts.cancelled++;
+    dispatch->ops.stop(dispatch->context, work);
+    end_work(dispatch, work, OUTCOME_RAN, reason, now_ms);
+}
+
+struct replay {
+    struct dispatch *dispatch;
+    const struct work *work;
+    uint64_t link;
+};
+
+static void
+replay_message(void *context, struct message *message)
+{
+    struct replay *replay = context;
+
+    message->id = replay->work->id;
+    message->attempt = replay->work->attempt;
+    replay->dispatch->ops.send(replay->dispatch->context, replay->link,
+                               message);
+}
+
+static void
+resume_answer(struct dispatch *dispatch, uint64_t link, struct work *work,
+              uint64_t offset, uint64_t now_ms)
+{
+    struct replay replay = {dispatch, work, link};
+
+    /* A prompt has one reader; a call with a key may have several. */
+    if (work->repeatable) {
+        g_array_set_size(work->links, 0);
+    }
+    work_add_link(work, link);
+    reschedule(dispatch, work);
+    if (answer_replay(work->answer, offset, replay_message, &replay)) {
+        return;
+    }
+    dispatch->counts.dropped_frames++;
+    if (work->state == WORK_RUNNING) {
+        stop_running(dispatch, work, REASON_LINK_LOST, now_ms);
+    }
+}
+
 static bool
 grant_is_late(const struct dispatch *dispatch, const struct work *work,
               uint64_t now_ms)
@@ -456,6 +503,11 @@
         bury(dispatch, link, message, REASON_STALE_GRANT, now_ms);
         return;
     }
+    if (work->state == WORK_ENDED && !work_has_link(work, link)) {
+        /* Somebody else asked before the grant came; it has its end. */
+        resume_answer(dispatch, link, work, 0, now_ms);
+        return;
+    }
     if (work->state != WORK_OFFERED || !work_has_link(work, link)) {
         dispatch->counts.dropped_frames++;
         return;
@@ -494,15 +546,6 @@
     }
 }
 
-static void
-stop_running(struct dispatch *dispatch, struct work *work, enum reason reason,
-             uint64_t now_ms)
-{
-    dispatch->counts.cancelled++;
-    dispatch->ops.stop(dispatch->context, work);
-    end_work(dispatch, work, OUTCOME_RAN, reason, now_ms);
-}
-
 static void
 take_cancel(struct dispatch *dispatch, uint64_t link, struct work *work,
             uint64_t now_ms)
@@ -534,44 +577,6 @@
     }
 }
 
-struct replay {
-    struct dispatch *dispatch;
-    const struct work *work;
-    uint64_t link;
-};
-
-static void
-replay_message(void *context, struct message *message)
-{
-    struct replay *replay = context;
-
-    message->id = replay->work->id;
-    message->attempt = replay->work->attempt;
-    replay->dispatch->ops.send(replay->dispatch->context, replay->link,
-                               message);
-}
-
-static void
-resume_answer(struct dispatch *dispatch, uint64_t link, struct work *work,
-              uint64_t offset, uint64_t now_ms)
-{
-    struct replay replay = {dispatch, work, link};
-
-    /* A prompt has one reader; a call with a key may have several. */
-    if (work->repeatable) {
-        g_array_set_size(work->links, 0);
-    }
-    work_add_link(work, link);
-    reschedule(dispatch, work);
-    if (answer_replay(work->answer, offset, replay_message, &replay)) {
-        return;
-    }
-    dispatch->counts.dropped_frames++;
-    if (work->state == WORK_RUNNING) {
-        stop_running(dispatch, work, REASON_LINK_LOST, now_ms);
-    }
-}
-
 static void
 take_resume(struct dispatch *dispatch, uint64_t link, struct work *work,
             const struct message *message, uint64_t now_ms)
@@ -864,6 +869,23 @@
     pump(dispatch, now_ms);
 }
 
+struct work *
+dispatch_find_running(const struct dispatch *dispatch, struct request_id id)
+{
+    GHashTableIter iter;
+    gpointer data;
+
+    g_hash_table_iter_init(&iter, dispatch->works);
+    while (g_hash_table_iter_next(&iter, &data, NULL)) {
+        struct work *work = data;
+
+        if (work->state == WORK_RUNNING && request_id_equal(work->id, id)) {
+            return work;
+        }
+    }
+    return NULL;
+}
+
 const struct dispatch_counts *
 dispatch_counts(const struct dispatch *dispatch)
 {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -93,6 +93,10 @@
 uint64_t dispatch_next_ms(const struct dispatch *dispatch);
 void dispatch_timeout(struct dispatch *dispatch, uint64_t now_ms);
 
+/* Work of a request that runs at the endpoint, NULL if none does. */
+struct work *dispatch_find_running(const struct dispatch *dispatch,
+                                   struct request_id id);
+
 const struct dispatch_counts *dispatch_counts(const struct dispatch *dispatch);
 uint32_t dispatch_queued(const struct dispatch *dispatch);
 /* Work granted and not ended. */
--- a/core/outcome.c
+++ b/core/outcome.c
@@ -29,6 +29,7 @@
         [REASON_LEAVING] = "leaving",
         [REASON_CANCELLED] = "cancelled",
         [REASON_STORE_DOWN] = "store-down",
+        [REASON_KEY_REUSED] = "key-reused",
         [REASON_TOO_LARGE] = "too-large",
     };
 
--- a/core/outcome.h
+++ b/core/outcome.h
@@ -23,6 +23,7 @@
     REASON_LEAVING,         /* the endpoint is shutting down */
     REASON_CANCELLED,       /* the caller went away */
     REASON_STORE_DOWN,      /* the key-value service can't confirm a claim */
+    REASON_KEY_REUSED,      /* the idempotency key was used otherwise */
     REASON_TOO_LARGE, /* needs more memory than the pool's engines have */
     REASON_COUNT,
 };
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -17,6 +17,7 @@
     uint64_t reservations;
     uint64_t retries;
     uint64_t resumes;
+    uint64_t joins;
     uint64_t callers_gone;
     uint64_t late_frames;
 };
--- a/entry/main.c
+++ b/entry/main.c
@@ -9,6 +9,7 @@
 #include "core/members.h"
 #include "core/message.h"
 #include "entry/agents.h"
+#include "entry/claims.h"
 #include "entry/entry_counters.h"
 #include "entry/entry_settings.h"
 #include "entry/front.h"
@@ -40,6 +41,7 @@
     struct agents *agents;
     struct sessions *sessions;
     struct worker_pool *workers;
+    struct claims *claims;
     struct loop_timer *drain_timer;
     bool draining;
 };
@@ -288,8 +290,11 @@
 
     entry->members = members_create(from->data_centre, &member_ops, entry);
     entry->workers = worker_pool_create(WORKER_THREADS);
+    entry->claims =
+        claims_create(entry->loop, entry->workers, entry->platform.store.ip,
+                      entry->platform.store.port);
     entry->sessions = sessions_create(entry->loop, &settings, entry->members,
-                                      entry->workers);
+                                      entry->workers, entry->claims);
     entry->agents =
         agents_create(entry->loop, entry->members, &entry->identity,
                       (uint32_t)from->silence_ms, &agent_handlers, entry);
--- a/entry/session.c
+++ b/entry/session.c
@@ -4,12 +4,14 @@
 #include <microhttpd.h>
 #include <string.h>
 
+#include "core/claim.h"
 #include "core/config.h"
 #include "core/members.h"
 #include "core/message.h"
 #include "core/prefix.h"
 #include "core/retry_budget.h"
 #include "entry/agents.h"
+#include "entry/claims.h"
 #include "entry/entry_counters.h"
 #include "entry/error_body.h"
 #include "entry/front.h"
@@ -29,6 +31,7 @@
     CREDIT_BYTES = 32 * 1024,
     MAX_TIME_LIMIT_MS = 24 * 3600 * 1000,
     NO_CONFIG_RETRY_MS = 1000,
+    MAX_KEY_BYTES = 255,
     DECIMAL = 10,
 };
 
@@ -40,18 +43,26 @@
     struct worker_pool *workers;
     GRand *rand;
     uint64_t last_counter;
-    GHashTable *by_id;   /* struct session by request id, with a binding */
+    GHashTable *by_id; /* the first struct session with an id */
+    struct claims *claims;
     GHashTable *budgets; /* route name to struct retry_budget */
 };
 
 struct session {
     struct sessions *sessions;
     struct exchange *exchange; /* NULL: closed while it was parsed */
-    struct request_id id;
+    struct request_id id;      /* of the frames: another's while joined */
+    struct request_id own_id;
+    struct session *same_id; /* the next one with this id */
     struct binding *binding; /* NULL: not admitted */
     struct loop_timer *timer;
     bool registered;
-    bool parsing;
+    bool parsing;  /* on a worker thread */
+    bool claiming; /* on a worker thread */
+
+    char *claim_key; /* in the platform's service; NULL: no claim */
+    uint64_t claim_index;
+    uint64_t fingerprint;
 
     enum work_class class;
     bool repeatable;
@@ -95,7 +106,8 @@
 
 struct sessions *
 sessions_create(struct loop *loop, const struct sessions_settings *settings,
-                struct members *members, struct worker_pool *workers)
+                struct members *members, struct worker_pool *workers,
+                struct claims *claims)
 {
     struct sessions *sessions = g_new0(struct sessions, 1);
 
@@ -103,6 +115,7 @@
     sessions->settings = *settings;
     sessions->members = members;
     sessions->workers = workers;
+    sessions->claims = claims;
     sessions->rand = g_rand_new();
     sessions->by_id = g_hash_table_new(id_hash, id_equal);
     sessions->budgets =
@@ -159,12 +172,50 @@
     }
 }
 
+static void
+enlist(struct session *session)
+{
+    GHashTable *by_id = session->sessions->by_id;
+
+    session->same_id = g_hash_table_lookup(by_id, &session->id);
+    g_hash_table_replace(by_id, &session->id, session);
+}
+
+static void
+delist(struct session *session)
+{
+    GHashTable *by_id = session->sessions->by_id;
+    struct session *first = g_hash_table_lookup(by_id, &session->id);
+
+    if (first == session) {
+        g_hash_table_remove(by_id, &session->id);
+        if (session->same_id != NULL) {
+            g_hash_table_replace(by_id, &session->same_id->id,
+                                 session->same_id);
+        }
+        return;
+    }
+    while (first->same_id != session) {
+        first = first->same_id;
+    }
+    first->same_id = session->same_id;
+}
+
+/* Changes the id under which frames come and go. */
+static void
+change_id(struct session *session, struct request_id id)
+{
+    delist(session);
+    session->id = id;
+    enlist(session);
+}
+
 static void
 unregister(struct session *session)
 {
     if (session->registered) {
         session->registered = false;
-        g_hash_table_remove(session->sessions->by_id, &session->id);
+        delist(session);
         entry_counters.waiting--;
     }
     loop_timer_disarm(session->timer);
@@ -181,6 +232,7 @@
     loop_timer_destroy(session->timer);
     binding_destroy(session->binding);
     prompt_clear(&session->prompt);
+    g_free(session->claim_key);
     g_free(session->account);
     g_free(session->pool);
     g_free(session->route);
@@ -235,6 +287,9 @@
 
     (void)attempt;
     leave_nodes(session);
+    if (!request_id_equal(session->id, session->own_id)) {
+        change_id(session, session->own_id);
+    }
     session->generation = config_generation(config);
     if (pool != NULL) {
         members_set_generation(sessions->members, session->generation);
@@ -281,12 +336,77 @@
     agents_send(session->sessions->agents, node, &message);
 }
 
+static void arm_timer(struct session *session);
+
+static void
+join_other(struct session *session, const struct claims_result *result,
+           uint64_t now_ms)
+{
+    struct sessions *sessions = session->sessions;
+    const struct claim *found = &result->found;
+    uint64_t incarnation;
+    uint32_t node;
+
+    session->claim_index = result->index;
+    if (!members_find(sessions->members, found->instance, &node)) {
+        binding_join_lost(session->binding);
+        return;
+    }
+    entry_counters.joins++;
+    binding_join(session->binding, node, found->attempt,
+                 found->agent_incarnation, now_ms);
+    change_id(session, found->id);
+    use_node(session, node);
+    if (agents_is_up(sessions->agents, node, &incarnation)) {
+        binding_link_up(session->binding, node, incarnation, now_ms);
+    }
+}
+
+static void
+on_claimed(void *data, const struct claims_result *result, uint64_t now_ms)
+{
+    struct session *session = data;
+
+    session->claiming = false;
+    if (session->exchange == NULL) {
+        session_destroy(session);
+        return;
+    }
+    if (!session->registered) {
+        return;
+    }
+    switch (result->outcome) {
+    case CLAIMS_TAKEN:
+        binding_claimed(session->binding, true, REASON_NONE, now_ms);
+        break;
+    case CLAIMS_OF_OTHER:
+        join_other(session, result, now_ms);
+        break;
+    case CLAIMS_OTHER_CONTENT:
+        binding_claimed(session->binding, false, REASON_KEY_REUSED, now_ms);
+        break;
+    case CLAIMS_STORE_DOWN:
+        binding_claimed(session->binding, false, REASON_STORE_DOWN, now_ms);
+        break;
+    }
+    arm_timer(session);
+}
+
 static void
 op_claim(void *context, uint32_t node, uint32_t attempt)
 {
-    (void)node;
-    (void)attempt;
-    (void)context;
+    struct session *session = context;
+    struct sessions *sessions = session->sessions;
+    const struct member *member = members_get(sessions->members, node);
+    struct claim claim = {.id = session->own_id,
+                          .attempt = attempt,
+                          .fingerprint = session->fingerprint};
+
+    g_strlcpy(claim.instance, member->instance, sizeof(claim.instance));
+    agents_is_up(sessions->agents, node, &claim.agent_incarnation);
+    session->claiming = true;
+    claims_take(sessions->claims, session->claim_key, &claim,
+                session->claim_index, on_claimed, session);
 }
 
 static void
@@ -299,6 +419,7 @@
         exchange_header(session->exchange, "Content-Type");
 
     message.budget_ms = budget_ms;
+    message.repeatable = session->repeatable;
     g_strlcpy(message.method, exchange_method(session->exchange),
               sizeof(message.method));
     g_strlcpy(message.path, exchange_target(session->exchange),
@@ -327,6 +448,7 @@
     struct message message = work_message(session, MESSAGE_RESUME, attempt);
 
     message.offset = offset;
+    message.repeatable = session->repeatable;
     entry_counters.resumes++;
     agents_send(session->sessions->agents, node, &message);
 }
@@ -366,7 +488,7 @@
     }
     session->credited_bytes = offset;
     credit = work_message(session, MESSAGE_CREDIT,
-                          binding_attempt(session->binding));
+                          binding_bound_attempt(session->binding));
     credit.offset = offset;
     agents_send(session->sessions->agents, node, &credit);
 }
@@ -422,6 +544,8 @@
     switch (result->reason) {
     case REASON_TIME_LIMIT:
         return MHD_HTTP_GATEWAY_TIMEOUT;
+    case REASON_KEY_REUSED:
+        return MHD_HTTP_UNPROCESSABLE_CONTENT;
     case REASON_TOO_LARGE:
         return result->outcome == OUTCOME_NOT_RUN ? MHD_HTTP_CONTENT_TOO_LARGE
                                                   : MHD_HTTP_BAD_GATEWAY;
@@ -465,7 +589,8 @@
     };
     uint32_t status = status_of(result);
 
-    if (result->reason != REASON_TOO_LARGE) {
+    if (result->reason != REASON_TOO_LARGE &&
+        result->reason != REASON_KEY_REUSED) {
         error.retry_after_ms =
             spread_ms(session->sessions, result->retry_after_ms);
     }
@@ -608,17 +733,42 @@
         .time_limit_ms = time_limit_ms,
         .repeatable = session->repeatable,
         .streamed = session->streamed,
+        .keyed = session->claim_key != NULL,
     };
 
     session->binding = binding_create(&sessions->settings.binding, &request,
                                       &binding_ops, session);
     session->registered = true;
     entry_counters.waiting++;
-    g_hash_table_insert(sessions->by_id, &session->id, session);
+    enlist(session);
     binding_start(session->binding, loop_now_ms(sessions->loop));
     arm_timer(session);
 }
 
+/* A key makes a difference only to what must not be repeated. */
+static bool
+read_key(struct session *session)
+{
+    const char *key = exchange_header(session->exchange, "Idempotency-Key");
+    const void *body;
+    gsize bytes;
+
+    if (key == NULL || session->repeatable) {
+        return true;
+    }
+    if (key[0] == '\0' || strlen(key) > MAX_KEY_BYTES) {
+        refuse_bad(session, MHD_HTTP_BAD_REQUEST,
+                   "the idempotency key needs 1 to 255 bytes");
+        return false;
+    }
+    body = g_bytes_get_data(session->body, &bytes);
+    session->claim_key = claim_store_key(session->account, key);
+    session->fingerprint =
+        claim_fingerprint(exchange_method(session->exchange),
+                          exchange_target(session->exchange), body, bytes);
+    return true;
+}
+
 static void
 admit(struct session *session)
 {
@@ -642,7 +792,7 @@
         ok = true;
     }
     published_config_unlock();
-    if (ok) {
+    if (ok && read_key(session)) {
         start_binding(session, time_limit_ms);
     }
 }
@@ -782,6 +932,7 @@
     session->exchange = exchange;
     session->id.incarnation = sessions->settings.incarnation;
     session->id.counter = ++sessions->last_counter;
+    session->own_id = session->id;
     session->started_ms = loop_now_ms(sessions->loop);
     session->timer = loop_timer_create(sessions->loop, on_timer, session);
     session->nodes = g_array_new(FALSE, FALSE, sizeof(uint32_t));
@@ -801,7 +952,7 @@
 
     (void)sessions;
     session->exchange = NULL;
-    if (!session->parsing) {
+    if (!session->parsing && !session->claiming) {
         session_destroy(session);
     }
 }
@@ -827,6 +978,19 @@
     send_credit(exchange_owner(exchange), bytes);
 }
 
+/* What an end says of its endpoint's health. */
+static void
+note_health(struct sessions *sessions, uint32_t node,
+            const struct message *end, uint64_t now_ms)
+{
+    if (end->reason == REASON_NONE) {
+        members_served(sessions->members, node);
+    }
+    else if (end->reason == REASON_ENDPOINT_FAILED) {
+        members_failed(sessions->members, node, now_ms);
+    }
+}
+
 /* The agent keeps an ended answer until its entry says that it has it. */
 static void
 acknowledge_end(struct sessions *sessions, uint32_t node,
@@ -850,6 +1014,7 @@
 
     if (message->type == MESSAGE_END) {
         acknowledge_end(sessions, node, message);
+        note_health(sessions, node, message, now_ms);
     }
     if (session == NULL) {
         entry_counters.late_frames++;
@@ -862,19 +1027,36 @@
         }
         return;
     }
-    if (message->type == MESSAGE_REFUSE &&
-        message->attempt == binding_attempt(session->binding)) {
-        leave_node(session, node);
+    while (session != NULL) {
+        struct session *next = session->same_id;
+
+        if (message->type == MESSAGE_REFUSE &&
+            message->attempt == binding_attempt(session->binding)) {
+            leave_node(session, node);
+        }
+        binding_message(session->binding, node, incarnation, message, now_ms);
+        arm_timer(session);
+        session = next;
     }
-    binding_message(session->binding, node, incarnation, message, now_ms);
-    arm_timer(session);
 }
 
 /* All sessions with a binding; events may end some of them. */
 static GList *
 open_sessions(struct sessions *sessions)
 {
-    return g_hash_table_get_values(sessions->by_id);
+    GHashTableIter iter;
+    gpointer value;
+    GList *list = NULL;
+
+    g_hash_table_iter_init(&iter, sessions->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct session *session = value;
+
+        for (; session != NULL; session = session->same_id) {
+            list = g_list_prepend(list, session);
+        }
+    }
+    return list;
 }
 
 void
@@ -911,18 +1093,17 @@
 static void
 leave_unbound(struct sessions *sessions, uint32_t node)
 {
-    GHashTableIter iter;
-    gpointer value;
+    GList *list = open_sessions(sessions);
 
-    g_hash_table_iter_init(&iter, sessions->by_id);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct session *session = value;
+    for (GList *at = list; at != NULL; at = at->next) {
+        struct session *session = at->data;
         uint32_t bound;
 
         if (!binding_bound_node(session->binding, &bound) || bound != node) {
             leave_node(session, node);
         }
     }
+    g_list_free(list);
 }
 
 void
--- a/entry/session.h
+++ b/entry/session.h
@@ -9,6 +9,7 @@
    over the binding to the frames of the agents, and back. Loop thread only. */
 
 struct agents;
+struct claims;
 struct exchange;
 struct loop;
 struct members;
@@ -26,7 +27,8 @@
 struct sessions *sessions_create(struct loop *loop,
                                  const struct sessions_settings *settings,
                                  struct members *members,
-                                 struct worker_pool *workers);
+                                 struct worker_pool *workers,
+                                 struct claims *claims);
 
 /* Before the first request; the two know each other. */
 void sessions_set_agents(struct sessions *sessions, struct agents *agents);
--- a/io/link.c
+++ b/io/link.c
@@ -18,6 +18,8 @@
     LISTEN_BACKLOG = 1024,
     MAX_QUEUED_BYTES = 64 * 1024 * 1024,
     FRAME_LENGTH_BYTES = 4,
+    /* A peer that connects and says nothing is cut off. */
+    GREETING_MS = 5000,
 };
 
 struct body_transfer {
@@ -40,6 +42,7 @@
     size_t out_sent;
     GQueue bodies; /* struct body_transfer, the next to send first */
     struct loop_timer *down_timer;
+    struct loop_timer *greeting_timer;
     struct link_handlers handlers;
     void *data;
 };
@@ -73,6 +76,13 @@
     g_free(transfer);
 }
 
+static void
+miss_greeting(void *data, uint64_t now_ms)
+{
+    (void)now_ms;
+    link_close(data, "no greeting in time");
+}
+
 static void
 report_down(void *data, uint64_t now_ms)
 {
@@ -98,6 +108,7 @@
     while ((transfer = g_queue_pop_head(&link->bodies)) != NULL) {
         transfer_free(transfer);
     }
+    loop_timer_disarm(link->greeting_timer);
     loop_timer_arm(link->down_timer, 0);
 }
 
@@ -109,6 +120,7 @@
     }
     link_close(link, "destroyed");
     loop_timer_destroy(link->down_timer);
+    loop_timer_destroy(link->greeting_timer);
     g_byte_array_unref(link->in);
     g_byte_array_unref(link->out);
     g_free(link);
@@ -263,6 +275,7 @@
     }
     else {
         link->up = true;
+        loop_timer_disarm(link->greeting_timer);
         link->handlers.up(link->data, link, message);
     }
 }
@@ -389,6 +402,8 @@
     link->handlers = *handlers;
     link->data = data;
     link->down_timer = loop_timer_create(loop, report_down, link);
+    link->greeting_timer = loop_timer_create(loop, miss_greeting, link);
+    loop_timer_arm(link->greeting_timer, loop_now_ms(loop) + GREETING_MS);
     g_queue_init(&link->bodies);
     link->watched = EPOLLIN | EPOLLOUT;
     if (!loop_watch(loop, fd, link->watched, on_ready, link)) {
--- a/io/platform_watch.c
+++ b/io/platform_watch.c
@@ -107,14 +107,17 @@
     struct store *store = store_create(watch->ip, watch->port);
     uint32_t pause_ms = FIRST_PAUSE_MS;
     uint64_t index = 0;
+    uint32_t wait_ms = 0;
 
     for (;;) {
         struct store_value value;
         GError *error = NULL;
 
-        if (!store_get(store, PLATFORM_HEAD_KEY, index, WATCH_WAIT_MS, &value,
+        if (!store_get(store, PLATFORM_HEAD_KEY, index, wait_ms, &value,
                        &error)) {
             note_state(watch, false, error);
+            /* The first answer afterwards is wanted at once. */
+            wait_ms = 0;
             pause_before_retry(&pause_ms);
             continue;
         }
@@ -122,12 +125,12 @@
         if (value.bytes != NULL && value.index != index) {
             take_head(watch, &value);
         }
-        if (value.index == 0 || value.index == index) {
-            /* No such key yet, or the wait has ended without news. */
+        if (value.index == 0) {
             pause_before_retry(&pause_ms);
         }
         else {
             pause_ms = FIRST_PAUSE_MS;
+            wait_ms = WATCH_WAIT_MS;
         }
         index = value.index;
         store_value_clear(&value);
--- a/io/store.c
+++ b/io/store.c
@@ -18,6 +18,8 @@
 
 struct store {
     struct http_session *reads;
+    /* neon sets the timeout of a kept connection when it opens it. */
+    struct http_session *watches;
     struct http_session *writes; /* never sends a request again by itself */
 };
 
@@ -41,6 +43,7 @@
     struct store *store = g_new0(struct store, 1);
 
     store->reads = http_session_create(ip, port, true);
+    store->watches = http_session_create(ip, port, true);
     store->writes = http_session_create(ip, port, false);
     return store;
 }
@@ -52,10 +55,17 @@
         return;
     }
     http_session_destroy(store->reads);
+    http_session_destroy(store->watches);
     http_session_destroy(store->writes);
     g_free(store);
 }
 
+static struct http_session *
+session_for(const struct store *store, uint32_t wait_ms)
+{
+    return wait_ms == 0 ? store->reads : store->watches;
+}
+
 static uint32_t
 call(struct http_session *session, const char *method, const char *path,
      const char *bytes, size_t count, uint32_t wait_ms, GByteArray *answer,
@@ -137,7 +147,8 @@
                                        key, after_index, wait_ms);
 
     memset(out, 0, sizeof(*out));
-    status = call(store->reads, "GET", path, NULL, 0, wait_ms, answer, error);
+    status = call(session_for(store, wait_ms), "GET", path, NULL, 0, wait_ms,
+                  answer, error);
     if (status == HTTP_NOT_FOUND) {
         ok = true;
     }
@@ -234,12 +245,13 @@
         after_index, wait_ms);
     json_t *json = NULL;
     bool ok = false;
+    struct http_session *session = session_for(store, wait_ms);
     uint32_t status =
-        call(store->reads, "GET", path, NULL, 0, wait_ms, answer, error);
+        call(session, "GET", path, NULL, 0, wait_ms, answer, error);
 
     if (status == HTTP_OK && (json = parse_answer(answer, error)) != NULL) {
         decode_members(json, list, count);
-        *index = http_session_index(store->reads);
+        *index = http_session_index(session);
         ok = true;
     }
     else if (status == HTTP_NOT_FOUND) {
--- a/tests/check.sh
+++ b/tests/check.sh
@@ -29,6 +29,7 @@
 run_tests build-asan
 run_tests build-tsan -L threads
 run_tests build
+bash tests/ablate.sh
 
 if [ -n "$known_red" ]; then
     echo "Known to be red, not counted:"
--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -11,6 +11,7 @@
 GENERATION=0
 
 fail() {
+    trap - ERR
     echo "FAILED: $*" >&2
     for log in "$WORK"/*.log; do
         echo "--- ${log##*/}" >&2
@@ -62,7 +63,7 @@
     local tries=0
     until "$@" >/dev/null 2>&1; do
         tries=$((tries + 1))
-        [ "$tries" -lt 3000 ] || fail "never happened: $*"
+        [ "$tries" -lt ${MAX_TRIES:-3000} ] || fail "never happened: $*"
         sleep 0.02
     done
 }
--- /dev/null
+++ b/tests/faults/lib/fleet.sh
@@ -0,0 +1,93 @@
+# A small fleet that most fault tests use: engine-1 and engine-2 behind
+# savjetnik-1 and savjetnik-2, plain-1 and plain-2 behind raspored-1 and
+# raspored-2, entry-1 and entry-2. Extra engine arguments in ENGINE_ARGUMENTS.
+. "$(dirname "${BASH_SOURCE[0]}")/../../cluster.sh"
+TABLES=$(dirname "${BASH_SOURCE[0]}")/../../../examples/uspon
+ENTRY=http://$IP:7301
+ENTRY2=http://$IP:7302
+
+start_fleet() {
+    local n
+    start_platform
+    for n in 1 2; do
+        # shellcheck disable=SC2086
+        start_engine "engine-$n" "710$n" ${ENGINE_ARGUMENTS:-}
+        start_plain "plain-$n" "711$n"
+        agent_settings "savjetnik-$n" "720$n" "engine-$n" split-a \
+            "${AGENT_SETTINGS:-}"
+        agent_settings "raspored-$n" "721$n" "plain-$n" split-a \
+            "${AGENT_SETTINGS:-}"
+    done
+    list_instances
+    apply_tables "$TABLES/routes.ini" "$TABLES/pools.ini"
+    for n in 1 2; do
+        start_agent "savjetnik-$n"
+        start_agent "raspored-$n"
+    done
+    start_entry entry-1 7301 split-a "${ENTRY_SETTINGS:-}"
+    start_entry entry-2 7302 split-a "${ENTRY_SETTINGS:-}"
+}
+
+# request NAME CURL_ARGUMENTS...: in the background; its answer in
+# $WORK/NAME.body and .head, its curl status by reap.
+request() {
+    local name=$1
+    shift
+    start "$name" curl -s -N -H 'Expect:' --max-time 120 \
+        -D "$WORK/$name.head" -o "$WORK/$name.body" "$@"
+}
+
+# engine_stat N NAME, executions NAME: what the stand-ins count.
+engine_stat() {
+    get "http://$IP:710$1/control/stats" | json_field "$2"
+}
+
+executions() {
+    local n sum=0
+    for n in 1 2; do
+        sum=$((sum + $(get "http://$IP:711$n/control/executions" |
+            json_field "$1")))
+    done
+    echo "$sum"
+}
+
+engines_are_empty() {
+    [ "$(engine_stat 1 held_tokens)" = 0 ] &&
+        [ "$(engine_stat 2 held_tokens)" = 0 ]
+}
+
+engines_hold_something() {
+    ! engines_are_empty
+}
+
+plain_runs_something() {
+    [ "$(executions total)" -gt 0 ]
+}
+
+# expect WHAT FOUND WANTED
+expect() {
+    [ "$2" = "$3" ] || fail "$1: found \"$2\", wanted \"$3\""
+}
+
+status_of() {
+    awk 'NR == 1 { print $2 }' "$WORK/$1.head"
+}
+
+header_of() {
+    tr -d '\r' <"$WORK/$1.head" |
+        awk -F': ' -v name="$2" 'tolower($1) == tolower(name) { print $2 }'
+}
+
+has_body() {
+    [ -s "$WORK/$1.body" ]
+}
+
+# Which agent's endpoint has work: the number, for engines or services.
+busy_engine() {
+    if [ "$(engine_stat 1 streams)" != 0 ]; then echo 1; else echo 2; fi
+}
+
+busy_plain() {
+    if [ "$(get "http://$IP:7111/control/executions" | json_field total)" \
+        != 0 ]; then echo 1; else echo 2; fi
+}
--- /dev/null
+++ b/tests/faults/shutdown.sh
@@ -0,0 +1,28 @@
+# SIGTERM to entry and agents with streams open and a queue waiting: nothing in
+# progress is cut off, new requests are not taken, both end by themselves.
+ENGINE_ARGUMENTS="--token-us 10000"
+. "$(dirname "$0")/lib/fleet.sh"
+start_fleet
+for n in 1 2 3 4; do
+    prompt 4000 100 true "$n" >"$WORK/prompt-$n"
+    request "stream-$n" -d @"$WORK/prompt-$n" "$ENTRY/v1/completions"
+    request "booking-$n" -d "{\"visit\":$n}" \
+        "$ENTRY/raspored/visits?delay=500"
+done
+wait_until has_body stream-1
+signal TERM entry-1
+wait_log entry-1 draining
+curl -s --max-time 5 "$ENTRY/healthz" -o /dev/null &&
+    fail "a draining entry takes connections"
+signal TERM raspored-1
+signal TERM savjetnik-1
+for n in 1 2 3 4; do
+    reap "stream-$n" || fail "stream-$n was cut off: $?"
+    grep -q DONE "$WORK/stream-$n.body" || fail "stream-$n is not whole"
+    reap "booking-$n" || fail "booking-$n was cut off: $?"
+    expect "booking-$n" "$(status_of "booking-$n")" 200
+done
+for name in entry-1 raspored-1 savjetnik-1; do
+    reap "$name" || fail "$name ended with status $?"
+done
+expect "executions" "$(executions most)" 2
--- /dev/null
+++ b/tests/faults/store_outage.sh
@@ -0,0 +1,44 @@
+# The platform goes down: requests go on for as long as it lasts; a new agent
+# gets its configuration from an entry; the platform's return changes nothing,
+# and an older generation is never taken.
+. "$(dirname "$0")/lib/fleet.sh"
+start_fleet
+get -d '{"warm":1}' "$ENTRY/raspored/visits" >/dev/null
+apply_tables "$TABLES/routes.ini" "$TABLES/pools.ini"
+wait_log entry-1 "configuration in force generation=2"
+wait_log raspored-1 "configuration in force generation=2"
+platform_control "down?on=1"
+wait_log entry-1 "the platform does not answer"
+
+prompt 2000 2 >"$WORK/prompt"
+for i in 1 2 3; do
+    get -d @"$WORK/prompt" -D "$WORK/out.head" -o /dev/null \
+        "$ENTRY/v1/completions"
+    expect "prompt in an outage" "$(status_of out)" 200
+    get -d "{\"visit\":$i}" -D "$WORK/out.head" -o /dev/null \
+        "$ENTRY/raspored/visits"
+    expect "booking in an outage" "$(status_of out)" 200
+done
+
+for n in 1 2; do
+    kill_hard "raspored-$n"
+    start_agent "raspored-$n"
+done
+answered() {
+    [ "$(curl -s -d '{"visit":9}' -o /dev/null -w '%{http_code}' \
+        "$ENTRY/raspored/visits")" = 200 ]
+}
+wait_until answered
+grep -q "generation=2 source=entry" "$WORK"/raspored-*.log ||
+    fail "no agent got its configuration from an entry"
+
+# A restored platform that has only an old generation.
+platform_control "down?on=0"
+wait_log entry-1 "the platform answers"
+GENERATION=0
+apply_tables "$TABLES/routes.ini" "$TABLES/pools.ini"
+GENERATION=2
+apply_tables "$TABLES/routes.ini" "$TABLES/pools.ini"
+wait_log entry-1 "configuration in force generation=3"
+[ "$(grep -c 'configuration in force' "$WORK/entry-1.log")" = 3 ] ||
+    fail "the entry took another generation"
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "core/frame_check.h"
 #include "core/message.h"
 #include "core/outcome.h"
 
@@ -157,6 +158,7 @@
     struct message out;
     const char *why = NULL;
 
+    g_assert_false(frame_check(payload, sizeof(payload)));
     g_assert_false(message_decode(payload, sizeof(payload), &out, &why));
     g_assert_nonnull(why);
 }
