--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 lint: all
 	printf '%s\n' $(filter %.c,$(SOURCES)) | \
-		xargs -P $(JOBS) -n 2 clang-tidy -p build --quiet
+		xargs -P $(JOBS) -n 1 clang-tidy -p build --quiet
 
 check: install all
 	bash tests/check.sh
--- a/agent/agent_settings.c
+++ b/agent/agent_settings.c
@@ -14,6 +14,8 @@
     MIB = 1 << 20
 };
 
+static const char *const order_names[] = {"short-first", "fifo", NULL};
+
 static const struct ini_key agent_keys[] = {
     {"instance", INI_NAME, AGENT(instance), NULL, 0, 0, NULL},
     {"data_centre", INI_NAME, AGENT(data_centre), NULL, 0, 0, NULL},
@@ -29,14 +31,15 @@
     {"prefill_window", INI_DURATION_MS, AGENT(prefill_window_ms), "100ms", 1,
      MINUTE_MS, NULL},
     {"max_queue", INI_COUNT, AGENT(max_queue), "10000", 1, 1000000, NULL},
+    {"order", INI_CHOICE, AGENT(order), "short-first", 0, 0, order_names},
+    {"load_interval", INI_DURATION_MS, AGENT(load_interval_ms), "0s", 0,
+     MINUTE_MS, NULL},
     {"body_memory", INI_BYTES, AGENT(body_memory_bytes), "96MiB", MIB,
      UINT64_C(16) * 1024 * MIB, NULL},
 };
 
 static const struct ini_key platform_keys[] = {
     {"store", INI_ADDRESS, PLATFORM(store), NULL, 0, 0, NULL},
-    {"service", INI_NAME, PLATFORM(service), "dandelionfork-agent", 0, 0,
-     NULL},
 };
 
 enum settings_result
--- a/agent/agent_settings.h
+++ b/agent/agent_settings.h
@@ -23,12 +23,13 @@
     uint64_t prefill_window_ms;
     uint64_t max_queue;
     uint64_t body_memory_bytes;
+    uint64_t order;            /* enum work_order */
+    uint64_t load_interval_ms; /* 0: no reports */
 };
 
 struct agent_platform_settings {
     /* [platform] */
     struct ini_address store;
-    char *service;
 };
 
 /* Reads command line and file into the two structs and sets up the log. */
--- a/agent/main.c
+++ b/agent/main.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -41,8 +42,10 @@
     struct loop_timer *due_timer;
     struct loop_timer *alive_timer;
     struct loop_timer *drain_timer;
+    struct loop_timer *load_timer;
     GHashTable *peers; /* number to struct peer */
     uint64_t last_peer;
+    _Atomic uint32_t entries_up;
     bool draining;
 };
 
@@ -53,6 +56,7 @@
     struct link *link;
     char instance[MESSAGE_NAME_BYTES];
     uint64_t incarnation;
+    bool up;
 };
 
 static struct peer *
@@ -206,14 +210,14 @@
     take_config(data, now_ms);
 }
 
-static void
-on_members(void *data, const struct member *list, size_t count,
-           uint64_t now_ms)
+/* On the thread that follows the platform. An agent that entries keep informed
+   spares it: there are many agents. */
+static bool
+needs_platform(void *data)
 {
-    (void)data;
-    (void)list;
-    (void)count;
-    (void)now_ms;
+    struct agent *agent = data;
+
+    return atomic_load(&agent->entries_up) == 0;
 }
 
 static void
@@ -282,6 +286,8 @@
     struct peer *peer = data;
 
     (void)link;
+    peer->up = true;
+    atomic_fetch_add(&peer->agent->entries_up, 1);
     g_strlcpy(peer->instance, hello->instance, sizeof(peer->instance));
     peer->incarnation = hello->incarnation;
     warn_of_twin(peer->agent, peer);
@@ -313,6 +319,9 @@
 
     LOG_INFO("entry disconnected", "instance=%s why=\"%s\"",
              peer->instance[0] != '\0' ? peer->instance : "unknown", why);
+    if (peer->up) {
+        atomic_fetch_sub(&agent->entries_up, 1);
+    }
     dispatch_link_down(agent->dispatch, peer->number,
                        loop_now_ms(agent->loop));
     link_destroy(link);
@@ -361,6 +370,28 @@
     loop_timer_arm(agent->alive_timer, now_ms + ALIVE_MS);
 }
 
+static void
+on_load_report(void *data, uint64_t now_ms)
+{
+    struct agent *agent = data;
+    const struct message load = {.type = MESSAGE_LOAD,
+                                 .load_tokens =
+                                     dispatch_load_tokens(agent->dispatch)};
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, agent->peers);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct peer *peer = value;
+
+        if (link_is_up(peer->link)) {
+            link_send(peer->link, &load);
+        }
+    }
+    loop_timer_arm(agent->load_timer,
+                   now_ms + agent->settings.load_interval_ms);
+}
+
 static void
 on_drain_check(void *data, uint64_t now_ms)
 {
@@ -411,6 +442,7 @@
     static const struct dispatch_ops ops = {
         send_to_entry, start_work, stop_work, confirm_work, cached_tokens};
     const struct dispatch_settings settings = {
+        .order = (uint32_t)agent->settings.order,
         .offer_window_ms = (uint32_t)agent->settings.offer_window_ms,
         .lease_ms = (uint32_t)agent->settings.lease_ms,
         .record_ms = (uint32_t)agent->settings.record_ms,
@@ -428,8 +460,8 @@
 {
     static const struct endpoint_calls_handlers call_handlers = {
         on_call_head, on_call_bytes, on_call_finished};
-    static const struct platform_watch_handlers platform_handlers = {
-        on_config, on_members};
+    const struct platform_address platform = {agent->platform.store.ip,
+                                              agent->platform.store.port};
     const struct health_target target = {
         agent->settings.endpoint.ip, agent->settings.endpoint.port,
         agent->settings.health_path, agent->settings.health_interval_ms};
@@ -438,9 +470,8 @@
         agent->loop, agent->settings.endpoint.ip,
         agent->settings.endpoint.port, &call_handlers, agent);
     agent->health = health_start(agent->loop, &target, on_health, agent);
-    platform_watch_start(agent->loop, agent->platform.store.ip,
-                         agent->platform.store.port, agent->platform.service,
-                         &platform_handlers, agent);
+    platform_watch_config(agent->loop, &platform, needs_platform, on_config,
+                          agent);
 }
 
 static bool
@@ -461,6 +492,10 @@
     agent->due_timer = loop_timer_create(agent->loop, on_due, agent);
     agent->alive_timer = loop_timer_create(agent->loop, on_alive, agent);
     agent->drain_timer = loop_timer_create(agent->loop, on_drain_check, agent);
+    agent->load_timer = loop_timer_create(agent->loop, on_load_report, agent);
+    if (agent->settings.load_interval_ms > 0) {
+        loop_timer_arm(agent->load_timer, loop_now_ms(agent->loop));
+    }
     loop_set_round_handler(agent->loop, on_round, agent);
     loop_timer_arm(agent->alive_timer, loop_now_ms(agent->loop) + ALIVE_MS);
     published_config_register_thread();
--- a/core/config.c
+++ b/core/config.c
@@ -309,6 +309,18 @@
     return best > 0;
 }
 
+size_t
+config_route_count(const struct config *config)
+{
+    return config->routes->len;
+}
+
+const struct route *
+config_route_at(const struct config *config, size_t index)
+{
+    return g_ptr_array_index(config->routes, index);
+}
+
 const struct pool *
 config_pool(const struct config *config, const char *name)
 {
--- a/core/config.h
+++ b/core/config.h
@@ -67,6 +67,10 @@
 bool config_path_class(const struct config *config, const char *path,
                        enum work_class *work_class);
 
+/* All routes, in the order of the table. */
+size_t config_route_count(const struct config *config);
+const struct route *config_route_at(const struct config *config, size_t index);
+
 const struct pool *config_pool(const struct config *config, const char *name);
 
 /* The pool that an instance belongs to, NULL if none. */
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -73,7 +73,8 @@
     dispatch->settings = *settings;
     dispatch->ops = *ops;
     dispatch->context = context;
-    dispatch->queue = work_queue_create(settings->prefill_window_ms);
+    dispatch->queue = work_queue_create((enum work_order)settings->order,
+                                        settings->prefill_window_ms);
     dispatch->works =
         g_hash_table_new_full(work_hash, work_equal, NULL, free_work);
     dispatch->due = g_sequence_new(NULL);
@@ -904,6 +905,12 @@
     return dispatch->active;
 }
 
+uint64_t
+dispatch_load_tokens(const struct dispatch *dispatch)
+{
+    return work_queue_load_tokens(dispatch->queue);
+}
+
 uint64_t
 dispatch_held_tokens(const struct dispatch *dispatch)
 {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -19,6 +19,7 @@
 /* A link is named by a number that its owner gives it; 0 is none. */
 
 struct dispatch_settings {
+    uint32_t order;             /* enum work_order */
     uint32_t offer_window_ms;   /* a grant later than this is not started */
     uint32_t lease_ms;          /* work without its entry is cancelled */
     uint32_t record_ms;         /* how long ended work is remembered */
@@ -101,6 +102,7 @@
 uint32_t dispatch_queued(const struct dispatch *dispatch);
 /* Work granted and not ended. */
 uint32_t dispatch_active(const struct dispatch *dispatch);
+uint64_t dispatch_load_tokens(const struct dispatch *dispatch);
 uint64_t dispatch_held_tokens(const struct dispatch *dispatch);
 /* Whether a reservation or work of this link is in progress. */
 bool dispatch_link_busy(const struct dispatch *dispatch, uint64_t link);
--- a/core/members.c
+++ b/core/members.c
@@ -25,6 +25,7 @@
     uint32_t failures; /* in a row */
     uint32_t ejections;
     uint64_t ejected_until_ms;
+    uint64_t load_tokens;
 };
 
 struct pool_nodes {
@@ -34,6 +35,7 @@
 
 struct members {
     char *own_data_centre;
+    enum members_policy policy;
     struct members_ops ops;
     void *context;
     GPtrArray *nodes;    /* struct node */
@@ -63,12 +65,13 @@
 }
 
 struct members *
-members_create(const char *own_data_centre, const struct members_ops *ops,
-               void *context)
+members_create(const char *own_data_centre, enum members_policy policy,
+               const struct members_ops *ops, void *context)
 {
     struct members *members = g_new0(struct members, 1);
 
     members->own_data_centre = g_strdup(own_data_centre);
+    members->policy = policy;
     members->ops = *ops;
     members->context = context;
     members->nodes = g_ptr_array_new_with_free_func(node_free);
@@ -240,6 +243,17 @@
     return changes;
 }
 
+void
+members_add(struct members *members, const struct member *member)
+{
+    uint32_t number;
+
+    if (!members_find(members, member->instance, &number)) {
+        add_node(members, member);
+        g_hash_table_remove_all(members->by_pool);
+    }
+}
+
 void
 members_set_generation(struct members *members, uint64_t generation)
 {
@@ -349,6 +363,39 @@
     return found;
 }
 
+static uint32_t
+random_node(const GArray *nodes, GRand *rand)
+{
+    return g_array_index(nodes, uint32_t,
+                         (guint)g_rand_int_range(rand, 0, (gint32)nodes->len));
+}
+
+static uint32_t
+less_loaded(const struct members *members, uint32_t first, uint32_t second)
+{
+    return node_at(members, second)->load_tokens <
+                   node_at(members, first)->load_tokens
+               ? second
+               : first;
+}
+
+static uint32_t
+baseline_node(const struct members *members, const GArray *nodes, GRand *rand)
+{
+    uint32_t node = random_node(nodes, rand);
+
+    if (members->policy == MEMBERS_BEST_OF_TWO) {
+        return less_loaded(members, node, random_node(nodes, rand));
+    }
+    if (members->policy == MEMBERS_LEAST_LOADED) {
+        for (guint i = 0; i < nodes->len; i++) {
+            node =
+                less_loaded(members, node, g_array_index(nodes, uint32_t, i));
+        }
+    }
+    return node;
+}
+
 size_t
 members_choose(struct members *members, const struct pool *pool,
                uint64_t affinity, GRand *rand, uint64_t now_ms, uint32_t *out,
@@ -360,6 +407,10 @@
     size_t count = 0;
     size_t filled = 0;
 
+    if (members->policy != MEMBERS_LATE_BINDING && nodes->len > 0) {
+        out[0] = baseline_node(members, nodes, rand);
+        return 1;
+    }
     for (guint i = 0; i < nodes->len; i++) {
         uint32_t number = g_array_index(nodes, uint32_t, i);
         struct scored candidate = {number, 0};
@@ -405,3 +456,14 @@
         node->ejections = 0;
     }
 }
+
+void
+members_set_load(struct members *members, uint32_t number,
+                 uint64_t load_tokens)
+{
+    struct node *node = node_at(members, number);
+
+    if (node != NULL) {
+        node->load_tokens = load_tokens;
+    }
+}
--- a/core/members.h
+++ b/core/members.h
@@ -21,12 +21,22 @@
     bool leaving;
 };
 
+/* How candidates are chosen. Late binding is the product's; the others are
+   baselines to measure it against, with one candidate each. */
+enum members_policy {
+    MEMBERS_LATE_BINDING,
+    MEMBERS_RANDOM,
+    MEMBERS_LEAST_LOADED, /* by the agents' reports */
+    MEMBERS_BEST_OF_TWO,  /* of two at random, by the agents' reports */
+};
+
 struct members_ops {
     /* A listed node leaves, has gone from the list, or moved elsewhere. */
     void (*left)(void *context, uint32_t node);
 };
 
 struct members *members_create(const char *own_data_centre,
+                               enum members_policy policy,
                                const struct members_ops *ops, void *context);
 void members_destroy(struct members *members);
 
@@ -36,6 +46,10 @@
 size_t members_update(struct members *members, const struct member *list,
                       size_t count);
 
+/* Adds one instance that no list has named yet; does nothing if it is known.
+ */
+void members_add(struct members *members, const struct member *member);
+
 /* Which nodes belong to a pool has changed. */
 void members_set_generation(struct members *members, uint64_t generation);
 
@@ -50,6 +64,10 @@
 void members_failed(struct members *members, uint32_t number, uint64_t now_ms);
 void members_served(struct members *members, uint32_t number);
 
+/* The agent's latest report of prefill that waits there. */
+void members_set_load(struct members *members, uint32_t number,
+                      uint64_t load_tokens);
+
 /* NULL if there is no such node. Valid until the next update. */
 const struct member *members_get(const struct members *members,
                                  uint32_t number);
--- a/core/message.c
+++ b/core/message.c
@@ -86,6 +86,7 @@
     [MESSAGE_CANCEL] = {"cancel", 3, {WORK}},
     [MESSAGE_RESUME] = {"resume", 5, {WORK, U32(repeatable), U64(offset)}},
     [MESSAGE_ALIVE] = {"alive", 0, {{0}}},
+    [MESSAGE_LOAD] = {"load", 1, {U64(load_tokens)}},
     [MESSAGE_CONFIG] = {"config", 2, {U64(generation), DATA}},
 };
 
--- a/core/message.h
+++ b/core/message.h
@@ -31,6 +31,7 @@
     MESSAGE_RESUME,    /* entry: go on from an offset after a cut */
     MESSAGE_ALIVE,     /* agent: work for this link goes on */
     MESSAGE_CONFIG,    /* both ways: a configuration generation */
+    MESSAGE_LOAD,      /* agent: prefill that waits, at an interval */
     MESSAGE_TYPE_COUNT,
 };
 
@@ -67,6 +68,7 @@
     uint64_t prefixes[MESSAGE_MAX_PREFIXES]; /* longest first */
     uint32_t prefix_count;
     uint64_t cached_tokens;
+    uint64_t load_tokens;
     uint32_t reason;  /* enum reason */
     uint32_t outcome; /* enum outcome */
     uint32_t retry_after_ms;
--- a/core/work_queue.c
+++ b/core/work_queue.c
@@ -17,6 +17,7 @@
 };
 
 struct work_queue {
+    bool fifo;
     uint32_t prefill_window_ms;
     uint64_t prefill_rate;
     uint64_t short_tokens;
@@ -33,10 +34,11 @@
 };
 
 struct work_queue *
-work_queue_create(uint32_t prefill_window_ms)
+work_queue_create(enum work_order order, uint32_t prefill_window_ms)
 {
     struct work_queue *queue = g_new0(struct work_queue, 1);
 
+    queue->fifo = order == WORK_ORDER_FIFO;
     queue->prefill_window_ms = prefill_window_ms;
     queue->prefill_rate = 1;
     queue->order = g_sequence_new(NULL);
@@ -103,6 +105,10 @@
     }
     work->band = band_of(work->prefill_tokens);
     work->is_short = work->prompt_tokens <= queue->short_tokens;
+    if (queue->fifo) {
+        work->order_ms = now_ms;
+        return;
+    }
     start_ms = fair_share_start_ms(queue->shares, work->account,
                                    work->service_ms, now_ms);
     work->order_ms = start_ms + WORK_QUEUE_AGEING * work->service_ms;
@@ -198,7 +204,7 @@
         queue->prefill_rate * queue->prefill_window_ms / MS_PER_S;
     uint64_t ahead = queue->band_tokens[work->band];
 
-    return ahead == 0 || ahead + work->prefill_tokens <= window;
+    return queue->fifo || ahead == 0 || ahead + work->prefill_tokens <= window;
 }
 
 /* While an older prompt waits for memory, only short ones may pass it, and
@@ -301,3 +307,20 @@
 {
     return queue->memory.held_tokens;
 }
+
+uint64_t
+work_queue_load_tokens(const struct work_queue *queue)
+{
+    GSequenceIter *iter = g_sequence_get_begin_iter(queue->order);
+    uint64_t tokens = 0;
+
+    for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
+        const struct work *work = g_sequence_get(iter);
+
+        tokens += work->prefill_tokens;
+    }
+    for (uint32_t band = 0; band < WORK_QUEUE_BANDS; band++) {
+        tokens += queue->band_tokens[band];
+    }
+    return tokens;
+}
--- a/core/work_queue.h
+++ b/core/work_queue.h
@@ -22,7 +22,13 @@
     WORK_QUEUE_BANDS = 8,
 };
 
-struct work_queue *work_queue_create(uint32_t prefill_window_ms);
+enum work_order {
+    WORK_ORDER_SHORT_FIRST, /* the product's */
+    WORK_ORDER_FIFO,        /* a baseline: as they come, no bands */
+};
+
+struct work_queue *work_queue_create(enum work_order order,
+                                     uint32_t prefill_window_ms);
 void work_queue_destroy(struct work_queue *queue);
 
 /* Takes the sizes of a pool; held memory stays held. */
@@ -62,6 +68,8 @@
 void work_queue_prefilled(struct work_queue *queue, struct work *work);
 
 uint32_t work_queue_length(const struct work_queue *queue);
+/* Prefill of all work here, waiting and held. */
+uint64_t work_queue_load_tokens(const struct work_queue *queue);
 uint64_t work_queue_held_tokens(const struct work_queue *queue);
 
 #endif
--- a/entry/agents.c
+++ b/entry/agents.c
@@ -26,6 +26,7 @@
     uint64_t heard_ms;
     uint64_t used_ms;
     uint32_t users; /* requests with something there */
+    bool home;
     bool silent;
     bool unneeded; /* we end the link ourselves */
     struct loop_timer *reconnect_timer;
@@ -148,7 +149,7 @@
     struct agents *agents = agent->agents;
 
     if (agent->users == 0) {
-        if (now_ms >= agent->used_ms + IDLE_MS) {
+        if (!agent->home && now_ms >= agent->used_ms + IDLE_MS) {
             agent->unneeded = true;
             link_close(agent->link, "idle");
         }
@@ -332,6 +333,29 @@
     }
 }
 
+void
+agents_set_home(struct agents *agents, uint32_t node, bool home)
+{
+    struct agent_link *agent =
+        home ? need_link(agents, node) : find_link(agents, node);
+
+    if (agent != NULL) {
+        agent->home = home;
+    }
+}
+
+void
+agents_connect_homes(struct agents *agents)
+{
+    for (guint i = 0; i < agents->links->len; i++) {
+        struct agent_link *agent = g_ptr_array_index(agents->links, i);
+
+        if (agent != NULL && agent->home && agent->link == NULL) {
+            connect_link(agent);
+        }
+    }
+}
+
 uint32_t
 agents_connected(const struct agents *agents)
 {
--- a/entry/agents.h
+++ b/entry/agents.h
@@ -57,6 +57,11 @@
 /* The instance moved, or left the list: its link ends when unused. */
 void agents_forget_address(struct agents *agents, uint32_t node);
 
+/* A home link is kept up without being in use. */
+void agents_set_home(struct agents *agents, uint32_t node, bool home);
+/* Connects the home links that are down. */
+void agents_connect_homes(struct agents *agents);
+
 uint32_t agents_connected(const struct agents *agents);
 
 #endif
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -15,6 +15,9 @@
     MIB = 1 << 20
 };
 
+static const char *const policy_names[] = {
+    "late-binding", "random", "least-loaded", "best-of-two", NULL};
+
 static const struct ini_key entry_keys[] = {
     {"instance", INI_NAME, ENTRY(instance), NULL, 0, 0, NULL},
     {"data_centre", INI_NAME, ENTRY(data_centre), NULL, 0, 0, NULL},
@@ -40,10 +43,13 @@
     {"max_candidates", INI_COUNT, ENTRY(max_candidates), "8", 1,
      BINDING_MAX_CANDIDATES, NULL},
     {"max_attempts", INI_COUNT, ENTRY(max_attempts), "6", 1, 100, NULL},
+    {"policy", INI_CHOICE, ENTRY(policy), "late-binding", 0, 0, policy_names},
     {"seeds", INI_ADDRESSES, ENTRY(seeds), "", 0, 0, NULL},
 };
 
 static const struct ini_key platform_keys[] = {
+    {"entry_service", INI_NAME, PLATFORM(entry_service), "dandelionfork-entry",
+     0, 0, NULL},
     {"store", INI_ADDRESS, PLATFORM(store), NULL, 0, 0, NULL},
     {"service", INI_NAME, PLATFORM(service), "dandelionfork-agent", 0, 0,
      NULL},
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -28,12 +28,14 @@
     uint64_t max_candidates;
     uint64_t max_attempts;
     char **seeds;
+    uint64_t policy; /* enum members_policy */
 };
 
 struct entry_platform_settings {
     /* [platform] */
     struct ini_address store;
-    char *service;
+    char *service;       /* of the agents */
+    char *entry_service; /* of the entries */
 };
 
 /* Reads command line and file into the two structs and sets up the log. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -13,6 +13,8 @@
 #include "entry/entry_counters.h"
 #include "entry/entry_settings.h"
 #include "entry/front.h"
+#include "entry/home_links.h"
+#include "entry/seeds.h"
 #include "entry/session.h"
 #include "io/http_call.h"
 #include "io/link.h"
@@ -42,6 +44,8 @@
     struct sessions *sessions;
     struct worker_pool *workers;
     struct claims *claims;
+    struct home_links *homes;
+    struct seeds *seeds;
     struct loop_timer *drain_timer;
     bool draining;
 };
@@ -155,8 +159,9 @@
 }
 
 static void
-take_passed_config(struct entry *entry, const struct message *message)
+take_passed_config(void *data, const struct message *message)
 {
+    struct entry *entry = data;
     GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
     struct config *config = NULL;
 
@@ -182,6 +187,10 @@
         take_passed_config(entry, message);
         return;
     }
+    if (message->type == MESSAGE_LOAD) {
+        members_set_load(entry->members, node, message->load_tokens);
+        return;
+    }
     sessions_message(entry->sessions, node, incarnation, message, now_ms);
 }
 
@@ -235,11 +244,36 @@
 
     (void)now_ms;
     if (changes > 0) {
+        home_links_agents_changed(entry->homes);
+        seeds_stop(entry->seeds);
         LOG_INFO("list of instances taken", "listed=%zu changes=%zu", count,
                  changes);
     }
 }
 
+static void
+on_entries(void *data, const struct member *list, size_t count,
+           uint64_t now_ms)
+{
+    struct entry *entry = data;
+
+    (void)now_ms;
+    home_links_entries(entry->homes, list, count);
+}
+
+static void
+follow_platform(struct entry *entry)
+{
+    const struct platform_address address = {entry->platform.store.ip,
+                                             entry->platform.store.port};
+
+    platform_watch_config(entry->loop, &address, NULL, on_config, entry);
+    platform_watch_members(entry->loop, &address, entry->platform.service,
+                           on_members, entry);
+    platform_watch_members(entry->loop, &address,
+                           entry->platform.entry_service, on_entries, entry);
+}
+
 static void
 on_drain_check(void *data, uint64_t now_ms)
 {
@@ -288,7 +322,9 @@
                     .max_attempts = (uint32_t)from->max_attempts},
     };
 
-    entry->members = members_create(from->data_centre, &member_ops, entry);
+    entry->members =
+        members_create(from->data_centre, (enum members_policy)from->policy,
+                       &member_ops, entry);
     entry->workers = worker_pool_create(WORKER_THREADS);
     entry->claims =
         claims_create(entry->loop, entry->workers, entry->platform.store.ip,
@@ -299,6 +335,10 @@
         agents_create(entry->loop, entry->members, &entry->identity,
                       (uint32_t)from->silence_ms, &agent_handlers, entry);
     sessions_set_agents(entry->sessions, entry->agents);
+    entry->homes = home_links_create(entry->loop, from->instance,
+                                     entry->members, entry->agents);
+    entry->seeds = seeds_create(entry->loop, from->seeds, &entry->identity,
+                                entry->members, take_passed_config, entry);
 }
 
 static bool
@@ -344,8 +384,6 @@
 int
 main(int argc, char **argv)
 {
-    static const struct platform_watch_handlers platform_handlers = {
-        on_config, on_members};
     static struct entry entry;
 
     switch (
@@ -360,9 +398,7 @@
     if (!set_up(&entry)) {
         return EXIT_FAILURE;
     }
-    platform_watch_start(entry.loop, entry.platform.store.ip,
-                         entry.platform.store.port, entry.platform.service,
-                         &platform_handlers, &entry);
+    follow_platform(&entry);
     LOG_INFO("started", "instance=%s incarnation=%016" PRIx64 " listen=%s:%u",
              entry.settings.instance, entry.identity.incarnation,
              entry.settings.listen.ip, entry.settings.listen.port);
--- a/io/link.c
+++ b/io/link.c
@@ -20,6 +20,9 @@
     FRAME_LENGTH_BYTES = 4,
     /* A peer that connects and says nothing is cut off. */
     GREETING_MS = 5000,
+    KEEPALIVE_IDLE_S = 5,
+    KEEPALIVE_INTERVAL_S = 1,
+    KEEPALIVE_COUNT = 3,
 };
 
 struct body_transfer {
@@ -384,6 +387,23 @@
     }
 }
 
+/* Keepalives notice a peer whose machine has gone without a word. */
+static void
+set_options(int fd)
+{
+    int on = 1;
+    int idle_s = KEEPALIVE_IDLE_S;
+    int interval_s = KEEPALIVE_INTERVAL_S;
+    int count = KEEPALIVE_COUNT;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s,
+               sizeof(interval_s));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+}
+
 static struct link *
 link_new(struct loop *loop, int fd, bool connecting,
          const struct link_identity *identity,
@@ -391,9 +411,8 @@
 {
     struct link *link = g_new0(struct link, 1);
     struct message hello = {.type = MESSAGE_HELLO, .version = MESSAGE_VERSION};
-    int on = 1;
 
-    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    set_options(fd);
     link->loop = loop;
     link->fd = fd;
     link->connecting = connecting;
--- a/io/platform_watch.c
+++ b/io/platform_watch.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 #include <pthread.h>
-#include <stdatomic.h>
 #include <unistd.h>
 
 #include "core/config.h"
@@ -18,47 +17,70 @@
     WATCH_WAIT_MS = 60000,
     FIRST_PAUSE_MS = 100,
     MAX_PAUSE_MS = 2000,
+    NOT_NEEDED_PAUSE_MS = 1000,
     US_PER_MS = 1000,
 };
 
-struct platform_watch {
+struct config_watch {
     struct loop *loop;
-    char *ip;
-    uint16_t port;
+    struct store *store;
+    bool up;
+    bool (*needed)(void *data);
+    void (*published)(void *data, uint64_t now_ms);
+    void *data;
+};
+
+struct members_watch {
+    struct loop *loop;
+    struct store *store;
     char *service;
-    struct platform_watch_handlers handlers;
+    void (*members)(void *data, const struct member *list, size_t count,
+                    uint64_t now_ms);
     void *data;
-    _Atomic bool up;
 };
 
 struct members_news {
-    struct platform_watch *watch;
+    struct members_watch *watch;
     struct member *list;
     size_t count;
 };
 
-bool
-platform_watch_is_up(const struct platform_watch *watch)
+/* Spread, so that a recovering platform doesn't meet everybody at once. */
+static void
+spread_pause(uint32_t pause_ms)
 {
-    return atomic_load(&watch->up);
+    uint32_t half_ms = pause_ms / 2;
+
+    usleep((half_ms + g_random_int_range(0, (gint32)half_ms + 1)) * US_PER_MS);
 }
 
-/* Spread, so that a recovering platform doesn't meet everybody at once. */
 static void
 pause_before_retry(uint32_t *pause_ms)
 {
-    uint32_t half_ms = *pause_ms / 2;
-
-    usleep((half_ms + g_random_int_range(0, (gint32)half_ms + 1)) * US_PER_MS);
+    spread_pause(*pause_ms);
     *pause_ms = MIN(*pause_ms * 2, MAX_PAUSE_MS);
 }
 
 static void
-note_state(struct platform_watch *watch, bool up, GError *error)
+start_thread(void *(*run)(void *data), void *data)
+{
+    pthread_t thread;
+
+    if (pthread_create(&thread, NULL, run, data) != 0) {
+        g_error("no thread for the platform");
+    }
+    pthread_detach(thread);
+}
+
+/* The configuration. */
+
+static void
+note_state(struct config_watch *watch, bool up, GError *error)
 {
-    if (atomic_exchange(&watch->up, up) != up) {
+    if (watch->up != up) {
+        watch->up = up;
         if (up) {
-            LOG_INFO("the platform answers", "service=%s", watch->service);
+            LOG_INFO("the platform answers", "%s", "");
         }
         else {
             LOG_WARN("the platform does not answer", "error=\"%s\"",
@@ -69,15 +91,15 @@
 }
 
 static void
-report_config(void *data, uint64_t now_ms)
+report_published(void *data, uint64_t now_ms)
 {
-    struct platform_watch *watch = data;
+    struct config_watch *watch = data;
 
-    watch->handlers.config(watch->data, now_ms);
+    watch->published(watch->data, now_ms);
 }
 
 static void
-take_head(struct platform_watch *watch, const struct store_value *value)
+take_head(struct config_watch *watch, const struct store_value *value)
 {
     GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
     struct config *config = config_create(value->bytes, value->count, errors);
@@ -96,15 +118,22 @@
         LOG_INFO("configuration in force",
                  "generation=%" G_GUINT64_FORMAT " source=platform",
                  generation);
-        loop_post(watch->loop, report_config, watch);
+        loop_post(watch->loop, report_published, watch);
+    }
+}
+
+static void
+wait_until_needed(const struct config_watch *watch)
+{
+    while (watch->needed != NULL && !watch->needed(watch->data)) {
+        spread_pause(NOT_NEEDED_PAUSE_MS);
     }
 }
 
 static void *
 follow_config(void *data)
 {
-    struct platform_watch *watch = data;
-    struct store *store = store_create(watch->ip, watch->port);
+    struct config_watch *watch = data;
     uint32_t pause_ms = FIRST_PAUSE_MS;
     uint64_t index = 0;
     uint32_t wait_ms = 0;
@@ -113,7 +142,8 @@
         struct store_value value;
         GError *error = NULL;
 
-        if (!store_get(store, PLATFORM_HEAD_KEY, index, wait_ms, &value,
+        wait_until_needed(watch);
+        if (!store_get(watch->store, PLATFORM_HEAD_KEY, index, wait_ms, &value,
                        &error)) {
             note_state(watch, false, error);
             /* The first answer afterwards is wanted at once. */
@@ -138,13 +168,32 @@
     return NULL;
 }
 
+void
+platform_watch_config(struct loop *loop,
+                      const struct platform_address *address,
+                      bool (*needed)(void *data),
+                      void (*published)(void *data, uint64_t now_ms),
+                      void *data)
+{
+    struct config_watch *watch = g_new0(struct config_watch, 1);
+
+    watch->loop = loop;
+    watch->store = store_create(address->ip, address->port);
+    watch->up = true;
+    watch->needed = needed;
+    watch->published = published;
+    watch->data = data;
+    start_thread(follow_config, watch);
+}
+
+/* Lists of instances. */
+
 static void
 report_members(void *data, uint64_t now_ms)
 {
     struct members_news *news = data;
 
-    news->watch->handlers.members(news->watch->data, news->list, news->count,
-                                  now_ms);
+    news->watch->members(news->watch->data, news->list, news->count, now_ms);
     store_members_free(news->list, news->count);
     g_free(news);
 }
@@ -152,19 +201,16 @@
 static void *
 follow_members(void *data)
 {
-    struct platform_watch *watch = data;
-    struct store *store = store_create(watch->ip, watch->port);
+    struct members_watch *watch = data;
     uint32_t pause_ms = FIRST_PAUSE_MS;
     uint64_t index = 0;
 
     for (;;) {
         struct members_news *news = g_new0(struct members_news, 1);
-        GError *error = NULL;
 
         news->watch = watch;
-        if (!store_members(store, watch->service, index, WATCH_WAIT_MS,
-                           &news->list, &news->count, &index, &error)) {
-            g_clear_error(&error);
+        if (!store_members(watch->store, watch->service, index, WATCH_WAIT_MS,
+                           &news->list, &news->count, &index, NULL)) {
             g_free(news);
             pause_before_retry(&pause_ms);
             continue;
@@ -175,33 +221,20 @@
     return NULL;
 }
 
-static void
-start_thread(void *(*run)(void *data), void *data)
-{
-    pthread_t thread;
-
-    if (pthread_create(&thread, NULL, run, data) != 0) {
-        g_error("no thread for the platform");
-    }
-    pthread_detach(thread);
-}
-
-struct platform_watch *
-platform_watch_start(struct loop *loop, const char *ip, uint16_t port,
-                     const char *service,
-                     const struct platform_watch_handlers *handlers,
-                     void *data)
+void
+platform_watch_members(struct loop *loop,
+                       const struct platform_address *address,
+                       const char *service,
+                       void (*members)(void *data, const struct member *list,
+                                       size_t count, uint64_t now_ms),
+                       void *data)
 {
-    struct platform_watch *watch = g_new0(struct platform_watch, 1);
+    struct members_watch *watch = g_new0(struct members_watch, 1);
 
     watch->loop = loop;
-    watch->ip = g_strdup(ip);
-    watch->port = port;
+    watch->store = store_create(address->ip, address->port);
     watch->service = g_strdup(service);
-    watch->handlers = *handlers;
+    watch->members = members;
     watch->data = data;
-    watch->up = true;
-    start_thread(follow_config, watch);
     start_thread(follow_members, watch);
-    return watch;
 }
--- /dev/null
+++ b/operator/main.c
@@ -0,0 +1,208 @@
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "core/head.h"
+#include "io/http_call.h"
+#include "io/store.h"
+#include "operator/apply.h"
+#include "operator/audit.h"
+#include "operator/edit.h"
+#include "operator/fleet_status.h"
+#include "operator/options.h"
+
+static enum operator_exit
+run_check(const struct options *options)
+{
+    struct edit edit;
+    enum operator_exit status = edit_read(options, &edit);
+
+    if (status == OPERATOR_OK && !options->json) {
+        printf("%s and %s are right\n", options->routes_file,
+               options->pools_file);
+    }
+    if (options->json) {
+        printf("{\"ok\": %s}\n", status == OPERATOR_OK ? "true" : "false");
+    }
+    edit_clear(&edit);
+    return status;
+}
+
+static enum operator_exit
+run_show(const struct options *options, struct store *store)
+{
+    struct head *head;
+    uint64_t index;
+    enum operator_exit status = apply_read_head(store, &head, &index);
+
+    if (status != OPERATOR_OK) {
+        return status;
+    }
+    if (options->json) {
+        char *text = head_encode(head);
+
+        printf("%s\n", text);
+        free(text);
+    }
+    else {
+        printf("# generation = %lu\n# change = %s\n\n# routes\n%s\n# pools\n"
+               "%s",
+               (unsigned long)head->generation, head->change, head->routes,
+               head->pools);
+    }
+    head_destroy(head);
+    return OPERATOR_OK;
+}
+
+struct history {
+    bool json;
+    uint32_t lines;
+};
+
+static void
+print_line(void *context, const char *text)
+{
+    struct history *history = context;
+    json_error_t ignored;
+    json_t *line = json_loads(text, 0, &ignored);
+    json_int_t base = 0;
+    json_int_t generation = 0;
+    const char *id = "";
+    const char *result = "";
+    const char *author = "";
+    const char *time = "";
+    const char *difference = "";
+    const char *why = NULL;
+
+    history->lines++;
+    if (history->json || line == NULL) {
+        printf("%s\n", text);
+        json_decref(line);
+        return;
+    }
+    json_unpack(line, "{s:s, s:s, s:I, s:I, s:s, s:s, s:s, s?s}", "change",
+                &id, "result", &result, "base", &base, "generation",
+                &generation, "author", &author, "time", &time, "difference",
+                &difference, "why", &why);
+    printf("%s %s %s", time, author, result);
+    if (generation != 0) {
+        printf(" as generation %lld", (long long)generation);
+    }
+    printf(", from %lld, change %s%s%s\n", (long long)base, id,
+           why != NULL ? ": " : "", why != NULL ? why : "");
+    if (difference[0] != '\0') {
+        printf("  %s\n", difference);
+    }
+    json_decref(line);
+}
+
+/* What the head has and the trail does not yet have counts too. */
+static bool
+catch_up(struct store *store)
+{
+    struct head *head;
+    uint64_t index;
+    bool ok = apply_read_head(store, &head, &index) == OPERATOR_OK &&
+              audit_catch_up(store, head, NULL);
+
+    head_destroy(head);
+    return ok;
+}
+
+static enum operator_exit
+run_history(const struct options *options, struct store *store)
+{
+    struct history history = {options->json, 0};
+    GError *error = NULL;
+
+    if (!catch_up(store) ||
+        !audit_read(store, options->change, print_line, &history, &error)) {
+        fprintf(stderr, "dandelionfork: the audit trail can't be read%s%s\n",
+                error != NULL ? ": " : "",
+                error != NULL ? error->message : "");
+        g_clear_error(&error);
+        return OPERATOR_STORE_DOWN;
+    }
+    if (options->change != NULL && history.lines == 0 && !options->json) {
+        printf("change %s was not accepted\n", options->change);
+        return OPERATOR_REFUSED;
+    }
+    return OPERATOR_OK;
+}
+
+static enum operator_exit
+run_status(const struct options *options, struct store *store)
+{
+    struct head *head;
+    uint64_t index;
+    GError *error = NULL;
+    GPtrArray *processes;
+    enum operator_exit status = apply_read_head(store, &head, &index);
+
+    if (status != OPERATOR_OK) {
+        return status;
+    }
+    processes = fleet_status_read(options, store, &error);
+    if (processes == NULL) {
+        fprintf(stderr, "dandelionfork: %s\n", error->message);
+        g_error_free(error);
+        head_destroy(head);
+        return OPERATOR_STORE_DOWN;
+    }
+    fleet_status_print(processes, head->generation, options->json);
+    status = fleet_status_count(processes, head->generation) == processes->len
+                 ? OPERATOR_OK
+                 : OPERATOR_NOT_IN_FORCE;
+    g_ptr_array_unref(processes);
+    head_destroy(head);
+    return status;
+}
+
+static enum operator_exit
+run_with_store(const struct options *options)
+{
+    struct store *store = store_create(options->store.ip, options->store.port);
+    enum operator_exit status = OPERATOR_USAGE;
+
+    switch (options->command) {
+    case COMMAND_DIFF:
+        status = apply_diff(options, store);
+        break;
+    case COMMAND_APPLY:
+        status = apply_run(options, store);
+        break;
+    case COMMAND_SHOW:
+        status = run_show(options, store);
+        break;
+    case COMMAND_HISTORY:
+        status = run_history(options, store);
+        break;
+    case COMMAND_STATUS:
+        status = run_status(options, store);
+        break;
+    case COMMAND_CHECK:
+    case COMMAND_COUNT:
+        break;
+    }
+    store_destroy(store);
+    return status;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct options options;
+    enum operator_exit status;
+
+    signal(SIGPIPE, SIG_IGN);
+    if (!options_parse(argc, argv, &options, &status)) {
+        return (int)status;
+    }
+    http_call_init();
+    status = options.command == COMMAND_CHECK ? run_check(&options)
+                                              : run_with_store(&options);
+    g_free(options.store.ip);
+    return (int)status;
+}
--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -52,9 +52,9 @@
     kill "-$1" "${PIDS[$2]}"
 }
 
-# kill_hard NAME: SIGKILL, and reaps it.
+# kill_hard NAME: SIGKILL unless it has ended, and reaps it.
 kill_hard() {
-    signal KILL "$1"
+    signal KILL "$1" 2>/dev/null || true
     reap "$1" || true
 }
 
--- a/tests/fakes/fake_platform.c
+++ b/tests/fakes/fake_platform.c
@@ -1,8 +1,8 @@
 /* Stand-in for the platform's service: keys with compare-and-swap and waiting
    reads, and the list of instances. Its faults are set over /control:
-   PUT /control/instances (a JSON list), POST /control/down?on=1,
-   /control/slow?ms=N, /control/lose?writes=N (the next N writes take effect
-   and their replies are lost), GET /control/calls. */
+   PUT /control/instances (a JSON list) and /control/entries, POST
+   /control/down?on=1, /control/slow?ms=N, /control/lose?writes=N (the next N
+   writes take effect and their replies are lost), GET /control/calls. */
 
 #include <glib.h>
 #include <microhttpd.h>
@@ -29,7 +29,8 @@
     pthread_mutex_t lock;
     pthread_cond_t changed;
     GHashTable *keys; /* name to struct key */
-    char *instances;
+    char *instances;  /* of the agents */
+    char *entries;    /* the list of any other service */
     uint64_t instances_index;
     uint64_t index;
     bool down;
@@ -155,19 +156,30 @@
         answer->drop = true;
         return;
     }
-    answer->body = g_strdup(platform->instances);
+    answer->body = g_strdup(g_str_has_suffix(request->path, "-agent")
+                                ? platform->instances
+                                : platform->entries);
     answer->index = platform->instances_index;
 }
 
+static void
+take_list(struct platform *platform, const struct fake_request *request,
+          char **list)
+{
+    g_free(*list);
+    *list = g_strndup((const char *)request->body->data, request->body->len);
+    platform->instances_index++;
+}
+
 static void
 control(struct platform *platform, const struct fake_request *request,
         const char *what, struct fake_answer *answer)
 {
     if (strcmp(what, "instances") == 0) {
-        g_free(platform->instances);
-        platform->instances =
-            g_strndup((const char *)request->body->data, request->body->len);
-        platform->instances_index++;
+        take_list(platform, request, &platform->instances);
+    }
+    else if (strcmp(what, "entries") == 0) {
+        take_list(platform, request, &platform->entries);
     }
     else if (strcmp(what, "down") == 0) {
         platform->down = fake_query(request, "on", 1) != 0;
@@ -261,6 +273,7 @@
     platform.keys =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_key);
     platform.instances = g_strdup("[]");
+    platform.entries = g_strdup("[]");
     platform.instances_index = 1;
     address = fake_arguments(argc, argv, NULL, NULL, 0);
     return fake_serve(&address, handle, &platform);
--- a/tests/faults/store_outage.sh
+++ b/tests/faults/store_outage.sh
@@ -32,6 +32,28 @@
 grep -q "generation=2 source=entry" "$WORK"/raspored-*.log ||
     fail "no agent got its configuration from an entry"
 
+# An entry that starts in the outage serves by its seeds.
+cat >"$WORK/entry-3.ini" <<END
+[entry]
+instance = entry-3
+data_centre = split-a
+listen = $IP:7303
+seeds = $IP:7201; $IP:7211; $IP:7212
+[platform]
+store = $IP:${PORTS[platform]}
+END
+start entry-3 "$BIN/dandelionfork-entry" --settings "$WORK/entry-3.ini"
+answered_by_seeds() {
+    [ "$(curl -s -d '{"visit":10}' -o /dev/null -w '%{http_code}' \
+        "http://$IP:7303/raspored/visits")" = 200 ]
+}
+wait_until answered_by_seeds
+get -d @"$WORK/prompt" -D "$WORK/seed.head" -o /dev/null \
+    "http://$IP:7303/v1/completions"
+expect "prompt by a seed" "$(status_of seed)" 200
+grep -q "generation=2 source=agent" "$WORK/entry-3.log" ||
+    fail "the new entry has its configuration from elsewhere"
+
 # A restored platform that has only an old generation.
 platform_control "down?on=0"
 wait_log entry-1 "the platform answers"
