Several engines' memory for one prompt; short prompts avoid busy engines

Cause 1: prompts that need more than one engine's memory were refused, yet the longest need more than two. The entry now holds memory at all but one of the needed engines, in the order of instance names, all or nothing; a hold is work at its agent, so leases, limits, cancels and restarts end it like any other. tests/faults/group.sh kills a member's agent and engine, the entry and the caller at each step, and freezes a member: afterwards nothing is held.

Cause 2: 1 short prompt in 100 waited 300 ms more at load 0.85. Prefill ahead was bounded per band of lengths, so an agent offered a short prompt while its engine was busy with an older long one, and the entry takes the first offer. Ruled out: the entry's loop, the links (long bodies take turns). Now the agent models its engine and offers when at most 100 ms of prefill with an earlier key are ahead.

--- a/agent/endpoint_calls.c
+++ b/agent/endpoint_calls.c
@@ -50,13 +50,14 @@
     struct endpoint_calls *calls;
     struct work *work; /* valid until finished is reported */
     char id[ID_BYTES];
-    bool is_prompt;
+    bool is_stream; /* the engine knows it by its id */
     bool repeatable;
     uint64_t priority;
     uint32_t read_s;
     const char *method;
     const char *path;
     const char *content_type;
+    const char *memory_parts;
     const uint8_t *body;
     size_t body_bytes;
     _Atomic bool stopped;
@@ -284,13 +285,15 @@
     struct endpoint_calls *calls = call->calls;
     char priority[ID_BYTES];
     struct http_header headers[] = {{"X-Request-Id", call->id},
-                                    {"X-Priority", priority}};
+                                    {"X-Priority", priority},
+                                    {"X-Memory-Parts", call->memory_parts}};
     struct http_request request = {
         .method = call->method,
         .path = call->path,
         .content_type = call->content_type,
         .headers = headers,
-        .header_count = G_N_ELEMENTS(headers),
+        .header_count =
+            G_N_ELEMENTS(headers) - (call->memory_parts[0] == '\0'),
         .body = call->body,
         .body_bytes = call->body_bytes,
     };
@@ -323,13 +326,14 @@
     call->work = work;
     snprintf(call->id, sizeof(call->id), "%016" PRIx64 "-%" PRIu64 "-%u",
              id.incarnation, id.counter, work_attempt(work));
-    call->is_prompt = work_class_of(work) == WORK_PROMPT;
+    call->is_stream = work_class_of(work) != WORK_PLAIN;
     call->repeatable = work_repeatable(work);
     call->priority = work_priority(work);
     call->read_s = (uint32_t)(left_ms / MS_PER_S + 1);
     call->method = work_method(work);
     call->path = work_path(work);
     call->content_type = work_content_type(work);
+    call->memory_parts = work_memory_parts(work);
     call->body = work_body(work, &call->body_bytes);
     pthread_mutex_init(&call->lock, NULL);
     pthread_cond_init(&call->changed, NULL);
@@ -381,7 +385,7 @@
     pthread_mutex_lock(&call->lock);
     pthread_cond_signal(&call->changed);
     pthread_mutex_unlock(&call->lock);
-    if (call->is_prompt) {
+    if (call->is_stream) {
         worker_pool_run(calls->stop_pool, run_stop,
                         g_atomic_rc_box_acquire(call));
     }
--- /dev/null
+++ b/bench/capacity.sh
@@ -0,0 +1,156 @@
+#!/usr/bin/env bash
+# Slopes for docs/CAPACITY.md: what each role costs per request, token, link,
+# endpoint known, configuration change, and at rest. One machine, stand-ins.
+here=$(dirname "$0")
+IP=127.62.$((RANDOM % 250)).1
+. "$here/../tests/cluster.sh"
+tables=$here/../examples/uspon
+TICK_MS=$((1000 / $(getconf CLK_TCK)))
+
+rss_kb() { awk '/VmRSS/ { print $2 }' "/proc/${PIDS[$1]}/status"; }
+cpu_ms() {
+    awk -v t="$TICK_MS" '{ print ($14 + $15) * t }' "/proc/${PIDS[$1]}/stat"
+}
+calls() {
+    get "http://$IP:7000/control/calls" |
+        sed 's/[^0-9,]//g; s/,/ /' | awk '{ print $1 + $2 }'
+}
+quiet() { sed -i 's/level = debug/level = info/' "$WORK/$1.ini"; }
+
+# --- one entry, a few agents: requests and tokens
+start_platform
+start_plain plain-1 7111
+start_engine engine-1 7101 --token-us 1000 --prefill-rate 1000000 \
+    --memory-tokens 10000000
+agent_settings raspored-1 7211 plain-1 split-a
+agent_settings savjetnik-1 7201 engine-1 split-a
+quiet raspored-1 && quiet savjetnik-1
+list_instances
+sed 's/\(memory_tokens\|prefill_rate\) = .*/\1 = 10000000/;
+    s/streams = .*/streams = 512/' "$tables/pools.ini" >"$WORK/pools.ini"
+apply_tables "$tables/routes.ini" "$WORK/pools.ini"
+start_agent raspored-1
+start_agent savjetnik-1
+start_entry entry-1 7301 split-a
+echo "== At rest"
+echo "entry $(rss_kb entry-1) KiB, agent $(rss_kb raspored-1) KiB"
+e0=$(cpu_ms entry-1) a0=$(cpu_ms raspored-1)
+b0=$(metric entry-1 dandelionfork_link_control_bytes_total) c0=$(calls)
+sleep 20
+echo "in 20 s: entry $(($(cpu_ms entry-1) - e0)) ms of processor," \
+    "agent $(($(cpu_ms raspored-1) - a0)) ms (health checks each 100 ms)," \
+    "$(($(metric entry-1 dandelionfork_link_control_bytes_total) - b0))" \
+    "control bytes, $(($(calls) - c0)) calls at the platform"
+
+echo "== Plain requests"
+e0=$(cpu_ms entry-1) a0=$(cpu_ms raspored-1)
+b0=$(metric entry-1 dandelionfork_link_control_bytes_total)
+n=$("$BIN/load" closed "$IP:7301" 16 5 /raspored/appointments 200 |
+    sed 's/.*answered=\([0-9]*\).*/\1/')
+awk -v n="$n" -v e=$(($(cpu_ms entry-1) - e0)) \
+    -v a=$(($(cpu_ms raspored-1) - a0)) \
+    -v b=$(($(metric entry-1 dandelionfork_link_control_bytes_total) - b0)) \
+    'BEGIN { printf "%d requests: entry %.1f us, agent %.1f us, %.0f control bytes each\n",
+        n, e * 1000 / n, a * 1000 / n, b / n }'
+
+echo "== Streamed tokens"
+e0=$(cpu_ms entry-1) a0=$(cpu_ms savjetnik-1)
+b0=$(metric entry-1 dandelionfork_link_control_bytes_total)
+for n in $(seq 50); do
+    prompt 2000 2000 true >"$WORK/prompt"
+    start "stream-$n" curl -s -H 'Expect:' -o /dev/null \
+        -d @"$WORK/prompt" "http://$IP:7301/v1/completions"
+done
+sleep 1
+echo "with 50 streams: entry $(rss_kb entry-1) KiB," \
+    "agent $(rss_kb savjetnik-1) KiB"
+for n in $(seq 50); do reap "stream-$n" || echo "stream $n: $?"; done
+awk -v n=100000 -v e=$(($(cpu_ms entry-1) - e0)) \
+    -v a=$(($(cpu_ms savjetnik-1) - a0)) \
+    -v b=$(($(metric entry-1 dandelionfork_link_control_bytes_total) - b0)) \
+    'BEGIN { printf "%d tokens: entry %.1f us, agent %.1f us, %.0f control bytes each\n",
+        n, e * 1000 / n, a * 1000 / n, b / n }'
+
+echo "== Waiting requests"
+r0=$(rss_kb entry-1) a0=$(rss_kb raspored-1)
+for n in $(seq 250); do
+    printf 'url = "http://%s:7301/raspored/visits?delay=5000&n=%d"\n' \
+        "$IP" "$n"
+    printf 'output = "/dev/null"\n'
+done >"$WORK/urls"
+start callers curl -s --parallel --parallel-immediate --parallel-max 250 \
+    -K "$WORK/urls"
+sleep 2
+awk -v n="$(metric entry-1 dandelionfork_waiting)" \
+    -v e=$(($(rss_kb entry-1) - r0)) -v a=$(($(rss_kb raspored-1) - a0)) \
+    'BEGIN { printf "%d waiting: entry %.1f KiB, agent %.1f KiB each\n",
+        n, e / n, a / n }'
+kill_hard callers
+
+echo "== Endpoints known"
+for count in 1000 5300; do
+    r0=$(rss_kb entry-1)
+    list=$INSTANCES
+    for n in $(seq "$count"); do
+        PORTS[other-$n]=$((10000 + n))
+        list="$list,$(instance "other-$n" zadar-c critical)"
+    done
+    platform_control instances -d "[$list]"
+    wait_log entry-1 "listed=$((count + 2))"
+    echo "$count more: the list has ${#list} bytes," \
+        "entry +$(($(rss_kb entry-1) - r0)) KiB"
+done
+for name in entry-1 raspored-1 savjetnik-1 engine-1; do kill_hard $name; done
+
+# --- growing fleets, all agents beside one plain stand-in
+for entries in 2 4 8; do
+    agents=$((entries * 10))
+    INSTANCES=""
+    listed=""
+    for n in $(seq "$agents"); do
+        agent_settings "raspored-$n" $((8000 + n)) plain-1 split-a
+        quiet "raspored-$n"
+        sed -i 's/health_interval = .*/health_interval = 500ms/' \
+            "$WORK/raspored-$n.ini"
+        : >"$WORK/raspored-$n.log"
+    done
+    for n in $(seq "$entries"); do
+        PORTS[entry-$n]=$((7300 + n))
+        listed="$listed${listed:+,}$(instance "entry-$n" split-a passing)"
+    done
+    list_instances
+    platform_control entries -d "[$listed]"
+    for n in $(seq "$agents"); do start_agent "raspored-$n"; done
+    for n in $(seq "$entries"); do
+        : >"$WORK/entry-$n.log"
+        start_entry "entry-$n" $((7300 + n)) split-a
+    done
+    sleep 65
+    e0=$(cpu_ms entry-1) a0=$(cpu_ms raspored-1) c0=$(calls)
+    b0=$(metric entry-1 dandelionfork_link_control_bytes_total)
+    sleep 10
+    echo "== $entries entries, $agents agents, 10 s at rest"
+    echo "entry $(rss_kb entry-1) KiB, agent $(rss_kb raspored-1) KiB;" \
+        "entry $(($(cpu_ms entry-1) - e0)) ms," \
+        "agent $(($(cpu_ms raspored-1) - a0)) ms of processor;" \
+        "$(($(metric entry-1 dandelionfork_link_control_bytes_total) - b0))" \
+        "control bytes at an entry; $(($(calls) - c0)) platform calls"
+    c0=$(calls)
+    b0=$(metric entry-1 dandelionfork_link_control_bytes_total)
+    d0=$(metric entry-1 dandelionfork_link_data_bytes_total)
+    sed "s/time_limit = 5s/time_limit = ${entries}s/" "$tables/routes.ini" \
+        >"$WORK/routes.ini"
+    start_ms=$(date +%s%3N)
+    apply_tables "$WORK/routes.ini" "$WORK/pools.ini"
+    for n in $(seq "$agents"); do
+        wait_log "raspored-$n" "in force generation=$GENERATION"
+    done
+    echo "a configuration change: everywhere after" \
+        "$(($(date +%s%3N) - start_ms)) ms (polled in steps of 20 ms);" \
+        "$(($(calls) - c0)) platform calls;" \
+        "$(($(metric entry-1 dandelionfork_link_data_bytes_total) - d0 +
+            $(metric entry-1 dandelionfork_link_control_bytes_total) - b0))" \
+        "bytes sent and received by an entry"
+    for n in $(seq "$agents"); do kill_hard "raspored-$n"; done
+    for n in $(seq "$entries"); do kill_hard "entry-$n"; done
+done
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -5,13 +5,13 @@
 
 #include "core/answer.h"
 #include "core/config.h"
+#include "core/past_runs.h"
 #include "core/work.h"
 #include "core/work_queue.h"
 
 enum {
     MIN_RETRY_AFTER_MS = 1000,
     DRAIN_RETRY_AFTER_MS = 100,
-    MAX_FORGOTTEN_ENTRIES = 65536,
     /* The entry's time limit ends before ours by the way of the grant. */
     DEADLINE_MARGIN_MS = 1000,
 };
@@ -23,15 +23,12 @@
     struct work_queue *queue;
     GHashTable *works; /* struct work, by id and attempt */
     GSequence *due;    /* struct work, the one due first in front */
-    /* By entry incarnation, the highest request counter whose record was
-       forgotten: what isn't known up to it may have run. Apart for what can
-       be repeated, whose records go much sooner. */
-    GHashTable *forgotten[2];
-    bool forgot_entries; /* a table was full once and emptied */
-    char *pool;          /* NULL: in none */
+    struct past_runs *past;
+    char *pool; /* NULL: in none */
     uint64_t generation;
     bool healthy;
     bool draining;
+    uint64_t ready_ms;   /* when the engine is ready for more prefill */
     uint64_t body_bytes; /* of all granted work */
     uint32_t active;
     struct dispatch_counts counts;
@@ -78,10 +75,8 @@
     dispatch->works =
         g_hash_table_new_full(work_hash, work_equal, NULL, free_work);
     dispatch->due = g_sequence_new(NULL);
-    for (int i = 0; i < 2; i++) {
-        dispatch->forgotten[i] =
-            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-    }
+    dispatch->past = past_runs_create();
+    dispatch->ready_ms = UINT64_MAX;
     dispatch->healthy = true;
     return dispatch;
 }
@@ -94,8 +89,7 @@
     }
     work_queue_destroy(dispatch->queue);
     g_sequence_free(dispatch->due);
-    g_hash_table_destroy(dispatch->forgotten[0]);
-    g_hash_table_destroy(dispatch->forgotten[1]);
+    past_runs_destroy(dispatch->past);
     g_hash_table_destroy(dispatch->works);
     g_free(dispatch->pool);
     g_free(dispatch);
@@ -137,7 +131,8 @@
     if (work->at_endpoint) {
         return UINT64_MAX;
     }
-    if (work->repeatable && work->acknowledged) {
+    /* That something never starts must be remembered, acknowledged or not. */
+    if (work->repeatable && work->acknowledged && !work->not_run) {
         return 0;
     }
     return MAX(work->ended_ms + dispatch->settings.record_ms,
@@ -192,37 +187,10 @@
 static void
 forget(struct dispatch *dispatch, struct work *work)
 {
-    GHashTable *forgotten = dispatch->forgotten[work->repeatable];
-    int64_t incarnation = (int64_t)work->id.incarnation;
-    uint64_t *counter = g_hash_table_lookup(forgotten, &incarnation);
-
-    if (counter == NULL) {
-        if (g_hash_table_size(forgotten) >= MAX_FORGOTTEN_ENTRIES) {
-            g_hash_table_remove_all(forgotten);
-            dispatch->forgot_entries = true;
-        }
-        counter = g_new0(uint64_t, 1);
-        g_hash_table_insert(
-            forgotten, g_memdup2(&incarnation, sizeof(incarnation)), counter);
-    }
-    *counter = MAX(*counter, work->id.counter);
+    past_runs_note(dispatch->past, work->id, work->repeatable);
     remove_work(dispatch, work);
 }
 
-/* Whether work without a record was certainly never started here. */
-static bool
-never_started(const struct dispatch *dispatch, const struct work *work)
-{
-    int64_t incarnation = (int64_t)work->id.incarnation;
-    const uint64_t *counter = g_hash_table_lookup(
-        dispatch->forgotten[work->repeatable], &incarnation);
-
-    if (counter == NULL) {
-        return !dispatch->forgot_entries;
-    }
-    return work->id.counter > *counter;
-}
-
 static void
 send_to_links(struct dispatch *dispatch, const struct work *work,
               struct message *message)
@@ -285,6 +253,7 @@
     }
     work->state = WORK_ENDED;
     work->ended_ms = now_ms;
+    work->not_run = outcome == OUTCOME_NOT_RUN;
     if (work->answer == NULL) {
         work->answer = answer_create();
     }
@@ -315,7 +284,9 @@
 {
     struct work *work = work_create(message, link, now_ms);
     enum outcome outcome =
-        never_started(dispatch, work) ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN;
+        past_runs_never_ran(dispatch->past, work->id, work->repeatable)
+            ? OUTCOME_NOT_RUN
+            : OUTCOME_UNKNOWN;
 
     add_work(dispatch, work);
     end_work(dispatch, work, outcome, reason, now_ms);
@@ -328,7 +299,7 @@
                               .cached_tokens = work->cached_tokens};
 
     work_queue_remove(dispatch->queue, work, false, now_ms);
-    work_queue_hold(dispatch->queue, work);
+    work_queue_hold(dispatch->queue, work, now_ms);
     work->state = WORK_OFFERED;
     work->offered_ms = now_ms;
     dispatch->counts.offered++;
@@ -341,10 +312,12 @@
 {
     struct work *work;
 
+    dispatch->ready_ms = UINT64_MAX;
     if (!dispatch->healthy || dispatch->draining) {
         return;
     }
-    while ((work = work_queue_next(dispatch->queue)) != NULL) {
+    while ((work = work_queue_next(dispatch->queue, now_ms,
+                                   &dispatch->ready_ms)) != NULL) {
         offer(dispatch, work, now_ms);
     }
 }
@@ -403,7 +376,7 @@
             dispatch->ops.cached_tokens(dispatch->context, message);
     }
     work_queue_measure(dispatch->queue, work, now_ms);
-    wait_ms = work_queue_wait_ms(dispatch->queue, work);
+    wait_ms = work_queue_wait_ms(dispatch->queue, work, now_ms);
     if (!work_queue_possible(dispatch->queue, work)) {
         reason = REASON_TOO_LARGE;
     }
@@ -856,7 +829,7 @@
 {
     const struct work *work = first_due(dispatch);
 
-    return work != NULL ? work->due_ms : UINT64_MAX;
+    return MIN(work != NULL ? work->due_ms : UINT64_MAX, dispatch->ready_ms);
 }
 
 void
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -117,6 +117,7 @@
 const char *work_method(const struct work *work);
 const char *work_path(const struct work *work);
 const char *work_content_type(const struct work *work);
+const char *work_memory_parts(const struct work *work);
 const uint8_t *work_body(const struct work *work, size_t *bytes);
 /* For the engine: lower goes first. */
 uint64_t work_priority(const struct work *work);
--- a/core/message.c
+++ b/core/message.c
@@ -44,9 +44,9 @@
     {                                                                         \
         FIELD_TEXT, offsetof(struct message, name)                            \
     }
-#define PATH                                                                  \
+#define LONG_TEXT(name)                                                       \
     {                                                                         \
-        FIELD_PATH, offsetof(struct message, path)                            \
+        FIELD_PATH, offsetof(struct message, name)                            \
     }
 #define PREFIXES                                                              \
     {                                                                         \
@@ -64,17 +64,19 @@
                        {U32(version), TEXT(instance), U64(incarnation),
                         TEXT(data_centre), U64(generation)}},
     [MESSAGE_RESERVE] = {"reserve",
-                         12,
+                         13,
                          {WORK, U64(generation), TEXT(account), TEXT(pool),
                           U32(work_class), U32(repeatable), U64(prompt_tokens),
-                          U64(max_tokens), U32(budget_ms), PREFIXES}},
+                          U64(max_tokens), U64(memory_tokens), U32(budget_ms),
+                          PREFIXES}},
     [MESSAGE_WITHDRAW] = {"withdraw", 3, {WORK}},
     [MESSAGE_OFFER] = {"offer", 4, {WORK, U64(cached_tokens)}},
     [MESSAGE_REFUSE] = {"refuse", 5, {WORK, U32(reason), U32(retry_after_ms)}},
     [MESSAGE_GRANT] = {"grant",
-                       9,
+                       10,
                        {WORK, U32(repeatable), U32(budget_ms), TEXT(method),
-                        PATH, TEXT(content_type), U64(body_bytes)}},
+                        LONG_TEXT(path), TEXT(content_type),
+                        LONG_TEXT(memory_parts), U64(body_bytes)}},
     [MESSAGE_BODY] = {"body", 5, {WORK, U64(offset), DATA}},
     [MESSAGE_HEAD] = {"head", 5, {WORK, U32(status), TEXT(content_type)}},
     [MESSAGE_CHUNK] = {"chunk", 5, {WORK, U64(offset), DATA}},
--- a/core/message.h
+++ b/core/message.h
@@ -38,6 +38,7 @@
 enum work_class {
     WORK_PROMPT, /* a prompt for a model engine */
     WORK_PLAIN,  /* a call of a plain service */
+    WORK_HOLD,   /* memory of an engine, held for a prompt at another */
     WORK_CLASS_COUNT,
 };
 
@@ -64,7 +65,8 @@
     uint32_t repeatable; /* 0 or 1 */
     uint64_t prompt_tokens;
     uint64_t max_tokens;
-    uint32_t budget_ms; /* time left, counted from when it was sent */
+    uint64_t memory_tokens; /* needed at this engine; 0: all of the prompt */
+    uint32_t budget_ms;     /* time left, counted from when it was sent */
     uint64_t prefixes[MESSAGE_MAX_PREFIXES]; /* longest first */
     uint32_t prefix_count;
     uint64_t cached_tokens;
@@ -75,6 +77,7 @@
     char method[MESSAGE_NAME_BYTES];
     char path[MESSAGE_PATH_BYTES];
     char content_type[MESSAGE_NAME_BYTES];
+    char memory_parts[MESSAGE_PATH_BYTES]; /* held at other engines */
     uint64_t body_bytes;
     uint64_t offset;     /* of the first byte of data */
     uint64_t checksum;   /* xxh64 of the whole answer body */
--- /dev/null
+++ b/core/past_runs.c
@@ -0,0 +1,70 @@
+#include "core/past_runs.h"
+
+#include <glib.h>
+
+enum {
+    MAX_ENTRIES = 65536,
+    KINDS = 2
+};
+
+struct past_runs {
+    GHashTable *highest[KINDS]; /* by repeatable: incarnation to uint64_t */
+    bool overflowed;            /* a table was full once and emptied */
+};
+
+struct past_runs *
+past_runs_create(void)
+{
+    struct past_runs *past = g_new0(struct past_runs, 1);
+
+    for (int i = 0; i < KINDS; i++) {
+        past->highest[i] =
+            g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+    }
+    return past;
+}
+
+void
+past_runs_destroy(struct past_runs *past)
+{
+    if (past == NULL) {
+        return;
+    }
+    for (int i = 0; i < KINDS; i++) {
+        g_hash_table_destroy(past->highest[i]);
+    }
+    g_free(past);
+}
+
+void
+past_runs_note(struct past_runs *past, struct request_id id, bool repeatable)
+{
+    GHashTable *highest = past->highest[repeatable];
+    int64_t incarnation = (int64_t)id.incarnation;
+    uint64_t *counter = g_hash_table_lookup(highest, &incarnation);
+
+    if (counter == NULL) {
+        if (g_hash_table_size(highest) >= MAX_ENTRIES) {
+            g_hash_table_remove_all(highest);
+            past->overflowed = true;
+        }
+        counter = g_new0(uint64_t, 1);
+        g_hash_table_insert(
+            highest, g_memdup2(&incarnation, sizeof(incarnation)), counter);
+    }
+    *counter = MAX(*counter, id.counter);
+}
+
+bool
+past_runs_never_ran(const struct past_runs *past, struct request_id id,
+                    bool repeatable)
+{
+    int64_t incarnation = (int64_t)id.incarnation;
+    const uint64_t *counter =
+        g_hash_table_lookup(past->highest[repeatable], &incarnation);
+
+    if (counter == NULL) {
+        return !past->overflowed;
+    }
+    return id.counter > *counter;
+}
--- a/core/work.c
+++ b/core/work.c
@@ -18,6 +18,7 @@
     g_strlcpy(work->account, reserve->account, sizeof(work->account));
     work->prompt_tokens = reserve->prompt_tokens;
     work->max_tokens = reserve->max_tokens;
+    work->memory_tokens = reserve->memory_tokens;
     memcpy(work->prefixes, reserve->prefixes, sizeof(work->prefixes));
     work->prefix_count = reserve->prefix_count;
     work->arrived_ms = now_ms;
@@ -42,6 +43,7 @@
     work->method = g_strdup(grant->method);
     work->path = g_strdup(grant->path);
     work->content_type = g_strdup(grant->content_type);
+    work->memory_parts = g_strdup(grant->memory_parts);
     work->body = g_byte_array_new();
     work->body_bytes = grant->body_bytes;
     work->answer = answer_create();
@@ -53,6 +55,7 @@
     g_clear_pointer(&work->method, g_free);
     g_clear_pointer(&work->path, g_free);
     g_clear_pointer(&work->content_type, g_free);
+    g_clear_pointer(&work->memory_parts, g_free);
     g_clear_pointer(&work->body, g_byte_array_unref);
 }
 
@@ -132,6 +135,12 @@
     return work->content_type;
 }
 
+const char *
+work_memory_parts(const struct work *work)
+{
+    return work->memory_parts;
+}
+
 const uint8_t *
 work_body(const struct work *work, size_t *bytes)
 {
--- a/core/work.h
+++ b/core/work.h
@@ -30,6 +30,7 @@
     char account[MESSAGE_NAME_BYTES];
     uint64_t prompt_tokens;
     uint64_t max_tokens;
+    uint64_t memory_tokens; /* asked for; 0: prompt and answer */
     uint64_t prefixes[MESSAGE_MAX_PREFIXES];
     uint32_t prefix_count;
 
@@ -37,7 +38,7 @@
     uint64_t prefill_tokens; /* of the prompt, not cached */
     uint64_t need_tokens;    /* of KV memory; 0 for plain work */
     uint64_t service_ms;     /* estimate until the first token */
-    uint32_t band;           /* of prompt lengths */
+    uint64_t prefill_left;   /* by our model of the engine */
     bool is_short;
     uint64_t arrived_ms;
     uint64_t deadline_ms;
@@ -53,13 +54,15 @@
     char *method;
     char *path;
     char *content_type;
+    char *memory_parts;
     uint64_t body_bytes;
     GByteArray *body;
 
     struct answer *answer;
     bool at_endpoint;  /* started there, and its end is not reported yet */
     bool acknowledged; /* its entry has seen the end */
-    bool prefilling;   /* counts in its band */
+    bool not_run;      /* that end was: it never starts */
+    bool prefilling;   /* held, and no first token yet */
     void *job;
 };
 
--- a/core/work_queue.c
+++ b/core/work_queue.c
@@ -7,8 +7,6 @@
 #include "core/work.h"
 
 enum {
-    FIRST_BAND_TOKENS = 1000,
-    BAND_FACTOR = 4,
     MS_PER_S = 1000,
     SHARE_SCALE = 1024, /* of grant_share */
     SHARE_HISTORY = 32, /* reservations that grant_share remembers */
@@ -26,7 +24,9 @@
     struct memory_account memory;
     uint64_t short_held_tokens;
     uint32_t running;
-    uint64_t band_tokens[WORK_QUEUE_BANDS]; /* held, not yet prefilled */
+    /* Our model of the engine: it prefills what is held in our order. */
+    GPtrArray *prefilling;
+    uint64_t modelled_ms;
     GSequence *order;
     struct fair_share *shares;
     uint64_t grant_share; /* of reservations that ran here, in 1024ths */
@@ -42,6 +42,7 @@
     queue->prefill_window_ms = prefill_window_ms;
     queue->prefill_rate = 1;
     queue->order = g_sequence_new(NULL);
+    queue->prefilling = g_ptr_array_new();
     queue->shares = fair_share_create();
     queue->grant_share = SHARE_SCALE;
     queue->plain_ms = FIRST_PLAIN_MS;
@@ -55,6 +56,7 @@
         return;
     }
     g_sequence_free(queue->order);
+    g_ptr_array_free(queue->prefilling, TRUE);
     fair_share_destroy(queue->shares);
     g_free(queue);
 }
@@ -73,19 +75,6 @@
     queue->class = (enum work_class)pool->work_class;
 }
 
-static uint32_t
-band_of(uint64_t tokens)
-{
-    uint64_t limit = FIRST_BAND_TOKENS;
-    uint32_t band = 0;
-
-    while (tokens > limit && band + 1 < WORK_QUEUE_BANDS) {
-        limit *= BAND_FACTOR;
-        band++;
-    }
-    return band;
-}
-
 void
 work_queue_measure(struct work_queue *queue, struct work *work,
                    uint64_t now_ms)
@@ -96,15 +85,19 @@
     if (work->class == WORK_PROMPT) {
         work->prefill_tokens = work->prompt_tokens -
                                MIN(work->cached_tokens, work->prompt_tokens);
-        work->need_tokens = work->prompt_tokens + work->max_tokens;
         work->service_ms =
             work->prefill_tokens * MS_PER_S / queue->prefill_rate;
     }
-    else {
+    else if (work->class == WORK_PLAIN) {
         work->service_ms = queue->plain_ms;
     }
-    work->band = band_of(work->prefill_tokens);
-    work->is_short = work->prompt_tokens <= queue->short_tokens;
+    if (work->class != WORK_PLAIN) {
+        work->need_tokens = work->memory_tokens != 0
+                                ? work->memory_tokens
+                                : work->prompt_tokens + work->max_tokens;
+    }
+    work->is_short = work->class == WORK_PROMPT &&
+                     work->prompt_tokens <= queue->short_tokens;
     if (queue->fifo) {
         work->order_ms = now_ms;
         return;
@@ -112,8 +105,11 @@
     start_ms = fair_share_start_ms(queue->shares, work->account,
                                    work->service_ms, now_ms);
     work->order_ms = start_ms + WORK_QUEUE_AGEING * work->service_ms;
+    /* Urgency goes before ageing, but no further than to the work's own
+       length: a tight limit is no way past other accounts. */
     latest_ms = work->deadline_ms - MIN(work->service_ms, work->deadline_ms);
-    work->order_ms = MIN(work->order_ms, MAX(latest_ms, now_ms));
+    latest_ms = MAX(latest_ms, start_ms + work->service_ms);
+    work->order_ms = MIN(work->order_ms, latest_ms);
 }
 
 bool
@@ -123,11 +119,56 @@
            memory_account_possible(&queue->memory, work->need_tokens);
 }
 
+static struct work *
+prefilling_at(const struct work_queue *queue, guint index)
+{
+    return g_ptr_array_index(queue->prefilling, index);
+}
+
+/* Lets the modelled engine work up to now. What the model has done counts one
+   token until the real engine's first token says so. */
+static void
+advance_model(struct work_queue *queue, uint64_t now_ms)
+{
+    uint64_t tokens =
+        queue->prefill_rate * (now_ms - queue->modelled_ms) / MS_PER_S;
+
+    if (tokens == 0) {
+        return;
+    }
+    queue->modelled_ms = now_ms;
+    for (guint i = 0; i < queue->prefilling->len && tokens > 0; i++) {
+        struct work *work = prefilling_at(queue, i);
+        uint64_t part =
+            work->prefill_left > 1 ? MIN(tokens, work->prefill_left - 1) : 0;
+
+        work->prefill_left -= part;
+        tokens -= part;
+    }
+}
+
+/* Prefill that the engine does before this work's. */
+static uint64_t
+tokens_ahead(const struct work_queue *queue, const struct work *work)
+{
+    uint64_t tokens = 0;
+
+    for (guint i = 0; i < queue->prefilling->len; i++) {
+        const struct work *other = prefilling_at(queue, i);
+
+        if (other->order_ms > work->order_ms) {
+            break;
+        }
+        tokens += other->prefill_left;
+    }
+    return tokens;
+}
+
 uint64_t
-work_queue_wait_ms(const struct work_queue *queue, const struct work *work)
+work_queue_wait_ms(struct work_queue *queue, const struct work *work,
+                   uint64_t now_ms)
 {
     uint64_t ahead_ms = 0;
-    uint64_t prefill_tokens = 0;
     GSequenceIter *iter = g_sequence_get_begin_iter(queue->order);
 
     for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
@@ -138,15 +179,14 @@
         }
         ahead_ms += other->service_ms;
     }
-    for (uint32_t band = 0; band <= work->band; band++) {
-        prefill_tokens += queue->band_tokens[band];
-    }
     /* Reservations made at several endpoints run at one of them. */
     ahead_ms = ahead_ms * queue->grant_share / SHARE_SCALE;
     if (work->class == WORK_PLAIN) {
         return ahead_ms / MAX(queue->streams, 1);
     }
-    return ahead_ms + prefill_tokens * MS_PER_S / queue->prefill_rate;
+    advance_model(queue, now_ms);
+    return ahead_ms +
+           tokens_ahead(queue, work) * MS_PER_S / queue->prefill_rate;
 }
 
 static gint
@@ -197,14 +237,20 @@
     }
 }
 
-static bool
-prefill_has_room(const struct work_queue *queue, const struct work *work)
+/* Tokens that the engine has still to do before this work should be given to
+   it; 0: now. */
+static uint64_t
+tokens_too_many(const struct work_queue *queue, const struct work *work)
 {
     uint64_t window =
         queue->prefill_rate * queue->prefill_window_ms / MS_PER_S;
-    uint64_t ahead = queue->band_tokens[work->band];
+    uint64_t ahead;
 
-    return queue->fifo || ahead == 0 || ahead + work->prefill_tokens <= window;
+    if (queue->fifo || work->prefill_tokens == 0) {
+        return 0;
+    }
+    ahead = tokens_ahead(queue, work);
+    return ahead > window ? ahead - window : 0;
 }
 
 /* While an older prompt waits for memory, only short ones may pass it, and
@@ -217,22 +263,27 @@
 }
 
 struct work *
-work_queue_next(const struct work_queue *queue)
+work_queue_next(struct work_queue *queue, uint64_t now_ms, uint64_t *ready_ms)
 {
     GSequenceIter *iter = g_sequence_get_begin_iter(queue->order);
     bool memory_awaited = false;
 
+    *ready_ms = UINT64_MAX;
     if (queue->running >= queue->streams) {
         return NULL;
     }
+    advance_model(queue, now_ms);
     for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter)) {
         struct work *work = g_sequence_get(iter);
+        uint64_t too_many = tokens_too_many(queue, work);
 
         if (work->class == WORK_PLAIN) {
             return work;
         }
-        if (!prefill_has_room(queue, work)) {
-            continue;
+        if (too_many > 0) {
+            /* Whatever comes later has as much before it. */
+            *ready_ms = now_ms + too_many * MS_PER_S / queue->prefill_rate + 1;
+            return NULL;
         }
         if (!memory_account_fits(&queue->memory, work->need_tokens,
                                  work->is_short)) {
@@ -246,16 +297,31 @@
     return NULL;
 }
 
+static gint
+compare_held(gconstpointer a, gconstpointer b)
+{
+    const struct work *const *first = a;
+    const struct work *const *second = b;
+
+    return compare_order(*first, *second, NULL);
+}
+
 void
-work_queue_hold(struct work_queue *queue, struct work *work)
+work_queue_hold(struct work_queue *queue, struct work *work, uint64_t now_ms)
 {
     queue->running++;
     memory_account_hold(&queue->memory, work->need_tokens);
     if (work->is_short) {
         queue->short_held_tokens += work->need_tokens;
     }
+    if (queue->prefilling->len == 0) {
+        queue->modelled_ms = now_ms;
+    }
+    advance_model(queue, now_ms);
     work->prefilling = true;
-    queue->band_tokens[work->band] += work->prefill_tokens;
+    work->prefill_left = work->prefill_tokens;
+    g_ptr_array_add(queue->prefilling, work);
+    g_ptr_array_sort(queue->prefilling, compare_held);
 }
 
 void
@@ -263,7 +329,7 @@
 {
     if (work->prefilling) {
         work->prefilling = false;
-        queue->band_tokens[work->band] -= work->prefill_tokens;
+        g_ptr_array_remove(queue->prefilling, work);
     }
 }
 
@@ -319,8 +385,8 @@
 
         tokens += work->prefill_tokens;
     }
-    for (uint32_t band = 0; band < WORK_QUEUE_BANDS; band++) {
-        tokens += queue->band_tokens[band];
+    for (guint i = 0; i < queue->prefilling->len; i++) {
+        tokens += prefilling_at(queue, i)->prefill_left;
     }
     return tokens;
 }
--- a/core/work_queue.h
+++ b/core/work_queue.h
@@ -8,7 +8,7 @@
 
 /* The order of work at one endpoint, and what may start now: short before
    long with ageing, fair shares between client accounts, a bounded amount of
-   prefill ahead per band of lengths, and the memory account. */
+   prefill ahead at the engine, and the memory account. */
 
 struct pool;
 struct work;
@@ -18,13 +18,11 @@
     /* A prompt goes ahead of one that came this many of its own service times
        later; the bound on how long it is overtaken. */
     WORK_QUEUE_AGEING = 4,
-    /* Each band of lengths is four times as long as the one before. */
-    WORK_QUEUE_BANDS = 8,
 };
 
 enum work_order {
     WORK_ORDER_SHORT_FIRST, /* the product's */
-    WORK_ORDER_FIFO,        /* a baseline: as they come, no bands */
+    WORK_ORDER_FIFO,        /* a baseline: as they come, no bound on prefill */
 };
 
 struct work_queue *work_queue_create(enum work_order order,
@@ -43,8 +41,8 @@
                          const struct work *work);
 
 /* Estimate of the wait until it starts, from what is before it. */
-uint64_t work_queue_wait_ms(const struct work_queue *queue,
-                            const struct work *work);
+uint64_t work_queue_wait_ms(struct work_queue *queue, const struct work *work,
+                            uint64_t now_ms);
 
 /* Measured work that is not added gives its account the share back. */
 void work_queue_return(struct work_queue *queue, const struct work *work,
@@ -57,11 +55,15 @@
 void work_queue_remove(struct work_queue *queue, struct work *work,
                        bool returned, uint64_t now_ms);
 
-/* The next work that may start now, NULL if none. */
-struct work *work_queue_next(const struct work_queue *queue);
+/* The next work that may start now, NULL if none; then *ready_ms is when the
+   engine will have done enough for one, UINT64_MAX if that is not what is
+   missing. */
+struct work *work_queue_next(struct work_queue *queue, uint64_t now_ms,
+                             uint64_t *ready_ms);
 
 /* Room is held for work that left the queue, until it is released. */
-void work_queue_hold(struct work_queue *queue, struct work *work);
+void work_queue_hold(struct work_queue *queue, struct work *work,
+                     uint64_t now_ms);
 void work_queue_release(struct work_queue *queue, struct work *work,
                         uint64_t now_ms);
 /* The prefill is over: the first byte of the answer has come. */
--- a/entry/entry_counters.c
+++ b/entry/entry_counters.c
@@ -94,6 +94,7 @@
     print_value(out, "retries_total", entry_counters.retries);
     print_value(out, "resumes_total", entry_counters.resumes);
     print_value(out, "joins_total", entry_counters.joins);
+    print_value(out, "groups_total", entry_counters.groups);
     print_value(out, "callers_gone_total", entry_counters.callers_gone);
     print_value(out, "late_frames_total", entry_counters.late_frames);
     print_value(out, "refused_bad_total", refused);
--- a/entry/entry_counters.h
+++ b/entry/entry_counters.h
@@ -18,6 +18,7 @@
     uint64_t retries;
     uint64_t resumes;
     uint64_t joins;
+    uint64_t groups;
     uint64_t callers_gone;
     uint64_t late_frames;
 };
--- a/entry/main.c
+++ b/entry/main.c
@@ -14,6 +14,7 @@
 #include "entry/entry_settings.h"
 #include "entry/front.h"
 #include "entry/home_links.h"
+#include "entry/request.h"
 #include "entry/seeds.h"
 #include "entry/session.h"
 #include "io/http_call.h"
@@ -41,6 +42,7 @@
     struct front *front;
     struct members *members;
     struct agents *agents;
+    struct requests *requests;
     struct sessions *sessions;
     struct worker_pool *workers;
     struct claims *claims;
@@ -191,7 +193,7 @@
         members_set_load(entry->members, node, message->load_tokens);
         return;
     }
-    sessions_message(entry->sessions, node, incarnation, message, now_ms);
+    requests_message(entry->requests, node, incarnation, message, now_ms);
 }
 
 static void
@@ -207,7 +209,7 @@
         agents_send(entry->agents, node, &message);
     }
     published_config_unlock();
-    sessions_node_up(entry->sessions, node, incarnation, now_ms);
+    requests_node_up(entry->requests, node, incarnation, now_ms);
 }
 
 static void
@@ -215,7 +217,7 @@
 {
     struct entry *entry = data;
 
-    sessions_node_down(entry->sessions, node, now_ms);
+    requests_node_down(entry->requests, node, now_ms);
 }
 
 static void
@@ -223,7 +225,7 @@
 {
     struct entry *entry = data;
 
-    sessions_node_silent(entry->sessions, node, now_ms);
+    requests_node_silent(entry->requests, node, now_ms);
 }
 
 static void
@@ -231,7 +233,7 @@
 {
     struct entry *entry = data;
 
-    sessions_node_leaving(entry->sessions, node, loop_now_ms(entry->loop));
+    requests_node_leaving(entry->requests, node, loop_now_ms(entry->loop));
     agents_forget_address(entry->agents, node);
 }
 
@@ -311,16 +313,15 @@
     static const struct members_ops member_ops = {on_member_left};
     const struct entry_settings *from = &entry->settings;
     const struct sessions_settings settings = {
-        .incarnation = entry->identity.incarnation,
         .account_header = from->account_header,
-        .time_limit_header = from->time_limit_header,
-        .binding = {.first_candidates = (uint32_t)from->first_candidates,
-                    .widen_step = (uint32_t)from->widen_step,
-                    .widen_ms = (uint32_t)from->widen_ms,
-                    .max_candidates = (uint32_t)from->max_candidates,
-                    .resume_ms = (uint32_t)from->resume_ms,
-                    .max_attempts = (uint32_t)from->max_attempts},
-    };
+        .time_limit_header = from->time_limit_header};
+    const struct binding_settings binding = {
+        .first_candidates = (uint32_t)from->first_candidates,
+        .widen_step = (uint32_t)from->widen_step,
+        .widen_ms = (uint32_t)from->widen_ms,
+        .max_candidates = (uint32_t)from->max_candidates,
+        .resume_ms = (uint32_t)from->resume_ms,
+        .max_attempts = (uint32_t)from->max_attempts};
 
     entry->members =
         members_create(from->data_centre, (enum members_policy)from->policy,
@@ -329,12 +330,15 @@
     entry->claims =
         claims_create(entry->loop, entry->workers, entry->platform.store.ip,
                       entry->platform.store.port);
-    entry->sessions = sessions_create(entry->loop, &settings, entry->members,
-                                      entry->workers, entry->claims);
+    entry->requests = requests_create(
+        entry->loop, &binding, entry->identity.incarnation, entry->members);
+    entry->sessions =
+        sessions_create(entry->loop, &settings, entry->members,
+                        entry->requests, entry->workers, entry->claims);
     entry->agents =
         agents_create(entry->loop, entry->members, &entry->identity,
                       (uint32_t)from->silence_ms, &agent_handlers, entry);
-    sessions_set_agents(entry->sessions, entry->agents);
+    requests_set_agents(entry->requests, entry->agents);
     entry->homes = home_links_create(entry->loop, from->instance,
                                      entry->members, entry->agents);
     entry->seeds = seeds_create(entry->loop, from->seeds, &entry->identity,
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -252,6 +252,23 @@
     return tokens;
 }
 
+/* Tokens held at other engines: "ID@IP:PORT=TOKENS,...". */
+static uint64_t
+tokens_elsewhere(const struct fake_request *request)
+{
+    const char *parts = fake_header(request, "X-Memory-Parts");
+    char **list = g_strsplit(parts != NULL ? parts : "", ",", -1);
+    uint64_t tokens = 0;
+
+    for (size_t i = 0; list[i] != NULL; i++) {
+        const char *equals = strchr(list[i], '=');
+
+        tokens += equals != NULL ? strtoull(equals + 1, NULL, 10) : 0;
+    }
+    g_strfreev(list);
+    return tokens;
+}
+
 static struct stream *
 create_stream(const struct fake_request *request, struct fake_answer *answer)
 {
@@ -273,6 +290,7 @@
     stream->hash = XXH64(request->body->data, request->body->len, 0);
     stream->max_tokens = stream->prompt.max_tokens;
     stream->need_tokens = tokens + stream->max_tokens;
+    stream->need_tokens -= MIN(stream->need_tokens, tokens_elsewhere(request));
     stream->whole = !stream->prompt.streamed;
     pthread_mutex_lock(&engine.lock);
     if (engine.held_tokens + stream->need_tokens >
@@ -295,6 +313,58 @@
     return stream;
 }
 
+/* A stream that only holds memory, until it is ended. */
+static ssize_t
+read_hold(void *data, uint64_t position, char *out, size_t max)
+{
+    static const char held[] = {'h', 'e', 'l', 'd', '\n'};
+    struct stream *stream = data;
+
+    if (position == 0) {
+        size_t count = MIN(max, sizeof(held));
+
+        memcpy(out, held, count);
+        return (ssize_t)count;
+    }
+    pthread_mutex_lock(&engine.lock);
+    while (!stream->cancelled) {
+        pthread_cond_wait(&engine.changed, &engine.lock);
+    }
+    pthread_mutex_unlock(&engine.lock);
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static void
+hold(const struct fake_request *request, struct fake_answer *answer)
+{
+    struct stream *stream = g_new0(struct stream, 1);
+    const char *id = fake_header(request, "X-Request-Id");
+    json_t *body = json_loadb((const char *)request->body->data,
+                              request->body->len, 0, NULL);
+
+    stream->id = g_strdup(id != NULL ? id : "none");
+    stream->need_tokens =
+        (uint64_t)json_integer_value(json_object_get(body, "tokens"));
+    json_decref(body);
+    pthread_mutex_lock(&engine.lock);
+    if (engine.held_tokens + stream->need_tokens >
+        engine.arguments[ARG_MEMORY]) {
+        engine.refused++;
+        pthread_mutex_unlock(&engine.lock);
+        answer->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        g_free(stream->id);
+        g_free(stream);
+        return;
+    }
+    engine.held_tokens += stream->need_tokens;
+    g_ptr_array_add(engine.streams, stream);
+    pthread_mutex_unlock(&engine.lock);
+    answer->content_type = "text/plain";
+    answer->read = read_hold;
+    answer->free_read = free_stream;
+    answer->read_data = stream;
+}
+
 static void
 complete(const struct fake_request *request, struct fake_answer *answer)
 {
@@ -389,6 +459,9 @@
              strcmp(request->method, "DELETE") == 0) {
         cancel(path + strlen(streams_path) + 1, answer);
     }
+    else if (strcmp(path, "/v1/memory/holds") == 0) {
+        hold(request, answer);
+    }
     else if (strcmp(path, "/v1/completions") == 0 ||
              strcmp(path, "/v1/chat/completions") == 0) {
         complete(request, answer);
