--- a/core/work_queue.h
+++ b/core/work_queue.h
@@ -17,7 +17,7 @@
 enum {
     /* A prompt goes ahead of one that came this many of its own service times
        later; the bound on how long it is overtaken. */
-    WORK_QUEUE_AGEING = 2,
+    WORK_QUEUE_AGEING = 4,
 };
 
 enum work_order {
