Endpoints that are free offer first; passing a configuration in one place

An agent whose engine prefills a long prompt offered a short one as soon as a free one did, and the engine put the long one off.

Change: an offer that would interrupt another prompt is held back for 4 ms.

--- a/agent/main.c
+++ b/agent/main.c
@@ -1,15 +1,13 @@
 #include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/socket.h>
 
 #include "agent/agent_settings.h"
 #include "agent/endpoint_calls.h"
 #include "agent/health.h"
+#include "agent/peers.h"
 #include "core/config.h"
 #include "core/dispatch.h"
 #include "core/prefix_cache.h"
@@ -17,6 +15,7 @@
 #include "io/link.h"
 #include "io/log.h"
 #include "io/loop.h"
+#include "io/passed_config.h"
 #include "io/platform_watch.h"
 #include "io/process.h"
 #include "io/published_config.h"
@@ -25,14 +24,14 @@
 
 enum {
     ALIVE_MS = 1000,
-    DRAIN_CHECK_MS = 20
+    DRAIN_CHECK_MS = 20,
+    COUNTS_MS = 60000
 };
 
 struct agent {
     struct agent_settings settings;
     struct agent_platform_settings platform;
-    uint64_t incarnation;
-    uint64_t generation;
+    struct link_identity identity;
     struct loop *loop;
     struct dispatch *dispatch;
     struct prefix_cache *cache;
@@ -43,28 +42,12 @@
     struct loop_timer *alive_timer;
     struct loop_timer *drain_timer;
     struct loop_timer *load_timer;
-    GHashTable *peers; /* number to struct peer */
-    uint64_t last_peer;
-    _Atomic uint32_t entries_up;
+    struct loop_timer *counts_timer;
+    uint64_t counted; /* reservations when the counts were logged last */
+    struct peers *peers;
     bool draining;
 };
 
-/* One connected entry. */
-struct peer {
-    struct agent *agent;
-    uint64_t number;
-    struct link *link;
-    char instance[MESSAGE_NAME_BYTES];
-    uint64_t incarnation;
-    bool up;
-};
-
-static struct peer *
-find_peer(struct agent *agent, uint64_t number)
-{
-    return g_hash_table_lookup(agent->peers, &number);
-}
-
 static void
 arm_due_timer(struct agent *agent)
 {
@@ -96,11 +79,9 @@
 static void
 send_to_entry(void *context, uint64_t number, const struct message *message)
 {
-    struct peer *peer = find_peer(context, number);
+    struct agent *agent = context;
 
-    if (peer != NULL) {
-        link_send(peer->link, message);
-    }
+    peers_send(agent->peers, number, message);
 }
 
 static void
@@ -188,7 +169,7 @@
     const struct pool *pool;
 
     if (config != NULL) {
-        agent->generation = config_generation(config);
+        agent->identity.generation = config_generation(config);
         pool = config_pool_of_instance(config, agent->settings.instance);
         if (pool != NULL) {
             agent->bytes_per_token = pool->bytes_per_token;
@@ -197,9 +178,10 @@
         }
         else {
             LOG_WARN("in no pool", "instance=%s generation=%" PRIu64,
-                     agent->settings.instance, agent->generation);
+                     agent->settings.instance, agent->identity.generation);
         }
-        dispatch_set_pool(agent->dispatch, pool, agent->generation, now_ms);
+        dispatch_set_pool(agent->dispatch, pool, agent->identity.generation,
+                          now_ms);
     }
     published_config_unlock();
 }
@@ -215,140 +197,54 @@
 static bool
 needs_platform(void *data)
 {
-    struct agent *agent = data;
+    const struct agent *agent = data;
 
-    return atomic_load(&agent->entries_up) == 0;
+    return peers_connected(agent->peers) == 0;
 }
 
+/* An entry with an older configuration gets ours. */
 static void
-take_passed_config(struct agent *agent, const struct message *message)
-{
-    GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
-    struct config *config;
-
-    if (message->generation <= agent->generation) {
-        g_ptr_array_free(errors, TRUE);
-        return;
-    }
-    config = config_create((const char *)message->data, message->data_bytes,
-                           errors);
-    if (config == NULL) {
-        LOG_WARN("a passed configuration can't be read", "error=\"%s\"",
-                 (const char *)g_ptr_array_index(errors, 0));
-    }
-    else if (published_config_publish(config)) {
-        LOG_INFO("configuration in force",
-                 "generation=%" PRIu64 " source=entry", message->generation);
-        take_config(agent, loop_now_ms(agent->loop));
-    }
-    g_ptr_array_free(errors, TRUE);
-}
-
-/* A peer with an older configuration gets ours. */
-static void
-pass_config(const struct agent *agent, struct peer *peer,
-            uint64_t peer_generation)
+on_entry_up(void *data, uint64_t number, uint64_t generation)
 {
+    struct agent *agent = data;
     const struct config *config = published_config_lock();
-    struct message message = {.type = MESSAGE_CONFIG};
+    struct message message = {0};
 
-    if (config != NULL && agent->generation > peer_generation) {
-        message.generation = config_generation(config);
-        message.data =
-            (const uint8_t *)config_head(config, &message.data_bytes);
-        link_send(peer->link, &message);
+    if (agent->identity.generation > generation &&
+        passed_config_fill(config, &message)) {
+        peers_send(agent->peers, number, &message);
     }
     published_config_unlock();
 }
 
 static void
-warn_of_twin(const struct agent *agent, const struct peer *peer)
+on_entry_message(void *data, uint64_t number, const struct message *message)
 {
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, agent->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const struct peer *other = value;
-
-        if (other != peer && strcmp(other->instance, peer->instance) == 0 &&
-            other->incarnation != peer->incarnation) {
-            LOG_WARN("two processes use one instance id", "instance=%s",
-                     peer->instance);
-            return;
-        }
-    }
-}
-
-static void
-on_link_up(void *data, struct link *link, const struct message *hello)
-{
-    struct peer *peer = data;
-
-    (void)link;
-    peer->up = true;
-    atomic_fetch_add(&peer->agent->entries_up, 1);
-    g_strlcpy(peer->instance, hello->instance, sizeof(peer->instance));
-    peer->incarnation = hello->incarnation;
-    warn_of_twin(peer->agent, peer);
-    LOG_INFO("entry connected", "instance=%s incarnation=%016" PRIx64,
-             peer->instance, peer->incarnation);
-    pass_config(peer->agent, peer, hello->generation);
-}
-
-static void
-on_link_message(void *data, struct link *link, const struct message *message)
-{
-    struct peer *peer = data;
-    struct agent *agent = peer->agent;
+    struct agent *agent = data;
+    uint64_t now_ms = loop_now_ms(agent->loop);
 
-    (void)link;
-    if (message->type == MESSAGE_CONFIG) {
-        take_passed_config(agent, message);
-        return;
+    if (message->type != MESSAGE_CONFIG) {
+        dispatch_message(agent->dispatch, number, message, now_ms);
+    }
+    else if (passed_config_take(message, "entry")) {
+        take_config(agent, now_ms);
     }
-    dispatch_message(agent->dispatch, peer->number, message,
-                     loop_now_ms(agent->loop));
 }
 
 static void
-on_link_down(void *data, struct link *link, const char *why)
+on_entry_down(void *data, uint64_t number)
 {
-    struct peer *peer = data;
-    struct agent *agent = peer->agent;
+    struct agent *agent = data;
 
-    LOG_INFO("entry disconnected", "instance=%s why=\"%s\"",
-             peer->instance[0] != '\0' ? peer->instance : "unknown", why);
-    if (peer->up) {
-        atomic_fetch_sub(&agent->entries_up, 1);
-    }
-    dispatch_link_down(agent->dispatch, peer->number,
-                       loop_now_ms(agent->loop));
-    link_destroy(link);
-    g_hash_table_remove(agent->peers, &peer->number);
+    dispatch_link_down(agent->dispatch, number, loop_now_ms(agent->loop));
 }
 
-static void
-on_accept(void *data, int listen_fd, uint32_t events)
+static bool
+is_busy(void *data, uint64_t number)
 {
-    static const struct link_handlers handlers = {on_link_up, on_link_message,
-                                                  on_link_down};
-    struct agent *agent = data;
-    int fd = accept4(listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    struct link_identity identity = {agent->settings.instance,
-                                     agent->settings.data_centre,
-                                     agent->incarnation, agent->generation};
-    struct peer *peer;
-
-    (void)events;
-    if (fd < 0) {
-        return;
-    }
-    peer = g_new0(struct peer, 1);
-    peer->agent = agent;
-    peer->number = ++agent->last_peer;
-    g_hash_table_insert(agent->peers, &peer->number, peer);
-    peer->link = link_accept(agent->loop, fd, &identity, &handlers, peer);
+    const struct agent *agent = data;
+
+    return dispatch_link_busy(agent->dispatch, number);
 }
 
 static void
@@ -356,17 +252,8 @@
 {
     static const struct message alive = {.type = MESSAGE_ALIVE};
     struct agent *agent = data;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, agent->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct peer *peer = value;
 
-        if (dispatch_link_busy(agent->dispatch, peer->number)) {
-            link_send(peer->link, &alive);
-        }
-    }
+    peers_broadcast(agent->peers, &alive, is_busy);
     loop_timer_arm(agent->alive_timer, now_ms + ALIVE_MS);
 }
 
@@ -377,27 +264,54 @@
     const struct message load = {.type = MESSAGE_LOAD,
                                  .load_tokens =
                                      dispatch_load_tokens(agent->dispatch)};
-    GHashTableIter iter;
-    gpointer value;
 
-    g_hash_table_iter_init(&iter, agent->peers);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        struct peer *peer = value;
-
-        if (link_is_up(peer->link)) {
-            link_send(peer->link, &load);
-        }
-    }
+    peers_broadcast(agent->peers, &load, NULL);
     loop_timer_arm(agent->load_timer,
                    now_ms + agent->settings.load_interval_ms);
 }
 
+static void
+log_counts(const struct agent *agent)
+{
+    const struct dispatch_counts *counts = dispatch_counts(agent->dispatch);
+
+    LOG_INFO("counts",
+             "reserved=%" PRIu64 " offered=%" PRIu64 " granted=%" PRIu64
+             " refused=%" PRIu64 " refused_at_admission=%" PRIu64
+             " missed_after_admission=%" PRIu64 " lapsed_offers=%" PRIu64
+             " stale_grants=%" PRIu64 " cancelled=%" PRIu64
+             " finished=%" PRIu64 " failed=%" PRIu64 " dropped_frames=%" PRIu64
+             " queued=%u held_tokens=%" PRIu64,
+             counts->reserved, counts->offered, counts->granted,
+             counts->refused, counts->refused_at_admission,
+             counts->missed_after_admission, counts->lapsed_offers,
+             counts->stale_grants, counts->cancelled, counts->finished,
+             counts->failed, counts->dropped_frames,
+             dispatch_queued(agent->dispatch),
+             dispatch_held_tokens(agent->dispatch));
+}
+
+/* Only while there is news. */
+static void
+on_counts(void *data, uint64_t now_ms)
+{
+    struct agent *agent = data;
+    uint64_t reserved = dispatch_counts(agent->dispatch)->reserved;
+
+    if (reserved != agent->counted) {
+        agent->counted = reserved;
+        log_counts(agent);
+    }
+    loop_timer_arm(agent->counts_timer, now_ms + COUNTS_MS);
+}
+
 static void
 on_drain_check(void *data, uint64_t now_ms)
 {
     struct agent *agent = data;
 
     if (dispatch_idle(agent->dispatch, now_ms)) {
+        log_counts(agent);
         LOG_INFO("stopped", "%s", "");
         loop_stop(agent->loop);
         return;
@@ -424,10 +338,13 @@
 static bool
 listen_for_entries(struct agent *agent)
 {
-    int fd =
-        link_listen(agent->settings.listen.ip, agent->settings.listen.port);
+    static const struct peers_handlers handlers = {
+        on_entry_up, on_entry_message, on_entry_down};
 
-    if (fd < 0 || !loop_watch(agent->loop, fd, EPOLLIN, on_accept, agent)) {
+    agent->peers = peers_create(agent->loop, agent->settings.listen.ip,
+                                agent->settings.listen.port, &agent->identity,
+                                &handlers, agent);
+    if (agent->peers == NULL) {
         LOG_ERR("can't listen", "address=%s:%u error=\"%s\"",
                 agent->settings.listen.ip, agent->settings.listen.port,
                 strerror(errno));
@@ -477,7 +394,9 @@
 static bool
 set_up(struct agent *agent)
 {
-    agent->incarnation = process_new_incarnation();
+    agent->identity.instance = agent->settings.instance;
+    agent->identity.data_centre = agent->settings.data_centre;
+    agent->identity.incarnation = process_new_incarnation();
     agent->bytes_per_token = 1;
     agent->loop = loop_create();
     if (agent->loop == NULL || !http_call_init() ||
@@ -485,13 +404,13 @@
         LOG_ERR("can't start", "error=\"%s\"", strerror(errno));
         return false;
     }
-    agent->peers =
-        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     agent->cache = prefix_cache_create(0);
     create_dispatch(agent);
     agent->due_timer = loop_timer_create(agent->loop, on_due, agent);
     agent->alive_timer = loop_timer_create(agent->loop, on_alive, agent);
     agent->drain_timer = loop_timer_create(agent->loop, on_drain_check, agent);
+    agent->counts_timer = loop_timer_create(agent->loop, on_counts, agent);
+    loop_timer_arm(agent->counts_timer, loop_now_ms(agent->loop) + COUNTS_MS);
     agent->load_timer = loop_timer_create(agent->loop, on_load_report, agent);
     if (agent->settings.load_interval_ms > 0) {
         loop_timer_arm(agent->load_timer, loop_now_ms(agent->loop));
@@ -521,7 +440,7 @@
     }
     start_threads(&agent);
     LOG_INFO("started", "instance=%s incarnation=%016" PRIx64 " listen=%s:%u",
-             agent.settings.instance, agent.incarnation,
+             agent.settings.instance, agent.identity.incarnation,
              agent.settings.listen.ip, agent.settings.listen.port);
     loop_run(agent.loop);
     return EXIT_SUCCESS;
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -95,7 +95,8 @@
         PORTS[other-$n]=$((10000 + n))
         list="$list,$(instance "other-$n" zadar-c critical)"
     done
-    platform_control instances -d "[$list]"
+    printf '[%s]' "$list" >"$WORK/list.json"
+    platform_control instances -d @"$WORK/list.json"
     wait_log entry-1 "listed=$((count + 2))"
     echo "$count more: the list has ${#list} bytes," \
         "entry +$(($(rss_kb entry-1) - r0)) KiB"
--- a/core/answer.c
+++ b/core/answer.c
@@ -53,12 +53,6 @@
               sizeof(answer->content_type));
 }
 
-bool
-answer_has_head(const struct answer *answer)
-{
-    return answer->has_head;
-}
-
 void
 answer_append(struct answer *answer, const uint8_t *bytes, size_t count)
 {
@@ -78,12 +72,6 @@
     answer->retry_after_ms = retry_after_ms;
 }
 
-bool
-answer_ended(const struct answer *answer)
-{
-    return answer->ended;
-}
-
 uint64_t
 answer_produced_bytes(const struct answer *answer)
 {
@@ -102,12 +90,6 @@
     answer->confirmed_bytes = offset;
 }
 
-size_t
-answer_unconfirmed_bytes(const struct answer *answer)
-{
-    return answer->bytes->len;
-}
-
 void
 answer_head_message(const struct answer *answer, struct message *out)
 {
--- a/core/answer.h
+++ b/core/answer.h
@@ -19,21 +19,16 @@
 
 void answer_set_head(struct answer *answer, uint32_t status,
                      const char *content_type);
-bool answer_has_head(const struct answer *answer);
 void answer_append(struct answer *answer, const uint8_t *bytes, size_t count);
 
 /* The last event; nothing may be appended after it. */
 void answer_end(struct answer *answer, enum outcome outcome,
                 enum reason reason, uint32_t retry_after_ms);
-bool answer_ended(const struct answer *answer);
 
 /* Drops what the entry has consumed. An offset beyond what was produced, or
    before what was confirmed, changes nothing. */
 void answer_confirm(struct answer *answer, uint64_t offset);
 
-/* Bytes produced and not confirmed. */
-size_t answer_unconfirmed_bytes(const struct answer *answer);
-
 /* Emits the head, the bytes from an offset and the end, as far as they are
    there. Returns false, with nothing emitted, if the offset was confirmed
    before or not produced yet. */
--- a/core/work_queue.c
+++ b/core/work_queue.c
@@ -12,6 +12,8 @@
     SHARE_HISTORY = 32, /* reservations that grant_share remembers */
     PLAIN_HISTORY = 16, /* calls that plain_ms remembers */
     FIRST_PLAIN_MS = 10,
+    /* How long an offer that would interrupt another prompt is held back. */
+    YIELD_MS = 4,
 };
 
 struct work_queue {
@@ -262,6 +264,19 @@
                                  queue->memory.kept_tokens;
 }
 
+/* Whether the engine would put off other prefill for it. */
+static bool
+would_interrupt(const struct work_queue *queue, const struct work *work)
+{
+    const struct work *last;
+
+    if (queue->fifo || queue->prefilling->len == 0) {
+        return false;
+    }
+    last = prefilling_at(queue, queue->prefilling->len - 1);
+    return last->order_ms > work->order_ms && last->prefill_left > 1;
+}
+
 struct work *
 work_queue_next(struct work_queue *queue, uint64_t now_ms, uint64_t *ready_ms)
 {
@@ -282,7 +297,9 @@
         }
         if (too_many > 0) {
             /* Whatever comes later has as much before it. */
-            *ready_ms = now_ms + too_many * MS_PER_S / queue->prefill_rate + 1;
+            *ready_ms =
+                MIN(*ready_ms,
+                    now_ms + too_many * MS_PER_S / queue->prefill_rate + 1);
             return NULL;
         }
         if (!memory_account_fits(&queue->memory, work->need_tokens,
@@ -290,6 +307,12 @@
             memory_awaited = true;
             continue;
         }
+        if (now_ms < work->arrived_ms + YIELD_MS &&
+            would_interrupt(queue, work)) {
+            /* An endpoint that is free is asked as well, and offers first. */
+            *ready_ms = MIN(*ready_ms, work->arrived_ms + YIELD_MS);
+            continue;
+        }
         if (!memory_awaited || may_pass_waiting(queue, work)) {
             return work;
         }
--- a/entry/agents.c
+++ b/entry/agents.c
@@ -355,18 +355,3 @@
         }
     }
 }
-
-uint32_t
-agents_connected(const struct agents *agents)
-{
-    uint32_t count = 0;
-
-    for (guint i = 0; i < agents->links->len; i++) {
-        const struct agent_link *agent = g_ptr_array_index(agents->links, i);
-
-        if (agent != NULL && agent->link != NULL) {
-            count++;
-        }
-    }
-    return count;
-}
--- a/entry/agents.h
+++ b/entry/agents.h
@@ -62,6 +62,4 @@
 /* Connects the home links that are down. */
 void agents_connect_homes(struct agents *agents);
 
-uint32_t agents_connected(const struct agents *agents);
-
 #endif
--- a/entry/entry_counters.c
+++ b/entry/entry_counters.c
@@ -4,7 +4,7 @@
 #include <inttypes.h>
 #include <stdio.h>
 
-#include "io/counters.h"
+#include "io/histogram.h"
 #include "io/link.h"
 #include "io/store.h"
 
@@ -114,5 +114,5 @@
             }
         }
     }
-    counters_print(out);
+    histograms_print(out);
 }
--- a/entry/front.c
+++ b/entry/front.c
@@ -207,12 +207,6 @@
     resume(exchange);
 }
 
-size_t
-exchange_buffered(const struct exchange *exchange)
-{
-    return exchange->answer != NULL ? exchange->answer->len : 0;
-}
-
 static ssize_t
 read_stream(void *data, uint64_t position, char *out, size_t max)
 {
--- a/entry/front.h
+++ b/entry/front.h
@@ -76,7 +76,5 @@
 void exchange_stream_data(struct exchange *exchange, const uint8_t *bytes,
                           size_t count);
 void exchange_stream_end(struct exchange *exchange, bool whole);
-/* Bytes that wait for the caller to take them. */
-size_t exchange_buffered(const struct exchange *exchange);
 
 #endif
--- a/entry/main.c
+++ b/entry/main.c
@@ -21,6 +21,7 @@
 #include "io/link.h"
 #include "io/log.h"
 #include "io/loop.h"
+#include "io/passed_config.h"
 #include "io/platform_watch.h"
 #include "io/process.h"
 #include "io/published_config.h"
@@ -130,20 +131,6 @@
     }
 }
 
-/* Fills a message with the configuration in force; between lock and unlock
-   of the configuration. */
-static bool
-fill_config_message(const struct config *config, struct message *message)
-{
-    if (config == NULL) {
-        return false;
-    }
-    message->type = MESSAGE_CONFIG;
-    message->generation = config_generation(config);
-    message->data = (const uint8_t *)config_head(config, &message->data_bytes);
-    return true;
-}
-
 static void
 on_config(void *data, uint64_t now_ms)
 {
@@ -152,7 +139,7 @@
     struct message message = {0};
 
     (void)now_ms;
-    if (fill_config_message(config, &message)) {
+    if (passed_config_fill(config, &message)) {
         entry->identity.generation = message.generation;
         members_set_generation(entry->members, message.generation);
         agents_broadcast(entry->agents, &message);
@@ -164,19 +151,10 @@
 take_passed_config(void *data, const struct message *message)
 {
     struct entry *entry = data;
-    GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
-    struct config *config = NULL;
 
-    if (message->generation > entry->identity.generation) {
-        config = config_create((const char *)message->data,
-                               message->data_bytes, errors);
-    }
-    if (config != NULL && published_config_publish(config)) {
-        LOG_INFO("configuration in force",
-                 "generation=%" PRIu64 " source=agent", message->generation);
+    if (passed_config_take(message, "agent")) {
         on_config(entry, loop_now_ms(entry->loop));
     }
-    g_ptr_array_free(errors, TRUE);
 }
 
 static void
@@ -205,7 +183,7 @@
     struct message message = {0};
 
     if (generation < entry->identity.generation &&
-        fill_config_message(config, &message)) {
+        passed_config_fill(config, &message)) {
         agents_send(entry->agents, node, &message);
     }
     published_config_unlock();
--- a/entry/request.c
+++ b/entry/request.c
@@ -471,12 +471,6 @@
     g_free(request);
 }
 
-bool
-request_is_done(const struct request *request)
-{
-    return binding_is_done(request->binding);
-}
-
 struct request_id
 request_own_id(const struct request *request)
 {
--- a/entry/request.h
+++ b/entry/request.h
@@ -69,7 +69,6 @@
 void request_destroy(struct request *request);
 /* Nobody wants its result any more; work at endpoints is ended. */
 void request_abandon(struct request *request);
-bool request_is_done(const struct request *request);
 
 struct request_id request_own_id(const struct request *request);
 uint64_t request_received_bytes(const struct request *request);
--- a/io/counters.c
+++ b/io/histogram.c
@@ -1,4 +1,4 @@
-#include "io/counters.h"
+#include "io/histogram.h"
 
 #include <glib.h>
 #include <inttypes.h>
@@ -9,11 +9,6 @@
     HISTOGRAM_BUCKETS = 20
 };
 
-struct counter {
-    char *name;
-    _Atomic int64_t value;
-};
-
 struct histogram {
     char *name;
     char *labels;
@@ -22,48 +17,8 @@
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static GPtrArray *counters;
 static GPtrArray *histograms;
 
-static void
-add_to(GPtrArray **list, gpointer item)
-{
-    pthread_mutex_lock(&lock);
-    if (*list == NULL) {
-        *list = g_ptr_array_new();
-    }
-    g_ptr_array_add(*list, item);
-    pthread_mutex_unlock(&lock);
-}
-
-struct counter *
-counter_create(const char *name)
-{
-    struct counter *counter = g_new0(struct counter, 1);
-
-    counter->name = g_strdup(name);
-    add_to(&counters, counter);
-    return counter;
-}
-
-void
-counter_add(struct counter *counter, int64_t amount)
-{
-    atomic_fetch_add_explicit(&counter->value, amount, memory_order_relaxed);
-}
-
-void
-counter_set(struct counter *counter, int64_t value)
-{
-    atomic_store_explicit(&counter->value, value, memory_order_relaxed);
-}
-
-int64_t
-counter_get(const struct counter *counter)
-{
-    return atomic_load_explicit(&counter->value, memory_order_relaxed);
-}
-
 struct histogram *
 histogram_create(const char *name, const char *labels)
 {
@@ -71,7 +26,12 @@
 
     histogram->name = g_strdup(name);
     histogram->labels = g_strdup(labels);
-    add_to(&histograms, histogram);
+    pthread_mutex_lock(&lock);
+    if (histograms == NULL) {
+        histograms = g_ptr_array_new();
+    }
+    g_ptr_array_add(histograms, histogram);
+    pthread_mutex_unlock(&lock);
     return histogram;
 }
 
@@ -115,15 +75,9 @@
 }
 
 void
-counters_print(GString *out)
+histograms_print(GString *out)
 {
     pthread_mutex_lock(&lock);
-    for (guint i = 0; counters != NULL && i < counters->len; i++) {
-        const struct counter *counter = g_ptr_array_index(counters, i);
-
-        g_string_append_printf(out, "%s %" PRId64 "\n", counter->name,
-                               counter_get(counter));
-    }
     for (guint i = 0; histograms != NULL && i < histograms->len; i++) {
         print_histogram(g_ptr_array_index(histograms, i), out);
     }
--- /dev/null
+++ b/io/passed_config.c
@@ -0,0 +1,59 @@
+#include "io/passed_config.h"
+
+#include <glib.h>
+#include <inttypes.h>
+
+#include "core/config.h"
+#include "core/message.h"
+#include "io/log.h"
+#include "io/published_config.h"
+
+#define LOG_PART "config"
+
+static bool
+is_news(uint64_t generation)
+{
+    const struct config *config = published_config_lock();
+    bool news = config == NULL || generation > config_generation(config);
+
+    published_config_unlock();
+    return news;
+}
+
+bool
+passed_config_take(const struct message *message, const char *source)
+{
+    GPtrArray *errors;
+    struct config *config;
+    bool taken = false;
+
+    if (!is_news(message->generation)) {
+        return false;
+    }
+    errors = g_ptr_array_new_with_free_func(g_free);
+    config = config_create((const char *)message->data, message->data_bytes,
+                           errors);
+    if (config == NULL) {
+        LOG_WARN("a passed configuration can't be read", "error=\"%s\"",
+                 (const char *)g_ptr_array_index(errors, 0));
+    }
+    else if (published_config_publish(config)) {
+        LOG_INFO("configuration in force", "generation=%" PRIu64 " source=%s",
+                 message->generation, source);
+        taken = true;
+    }
+    g_ptr_array_free(errors, TRUE);
+    return taken;
+}
+
+bool
+passed_config_fill(const struct config *config, struct message *out)
+{
+    if (config == NULL) {
+        return false;
+    }
+    out->type = MESSAGE_CONFIG;
+    out->generation = config_generation(config);
+    out->data = (const uint8_t *)config_head(config, &out->data_bytes);
+    return true;
+}
--- a/io/published_config.c
+++ b/io/published_config.c
@@ -18,12 +18,6 @@
     urcu_memb_register_thread();
 }
 
-void
-published_config_unregister_thread(void)
-{
-    urcu_memb_unregister_thread();
-}
-
 const struct config *
 published_config_lock(void)
 {
--- a/io/published_config.h
+++ b/io/published_config.h
@@ -8,9 +8,8 @@
 
 struct config;
 
-/* Each reading thread calls these when it starts and ends. */
+/* Each reading thread calls this when it starts. */
 void published_config_register_thread(void);
-void published_config_unregister_thread(void);
 
 /* Reads between lock and unlock; the configuration stays valid that long.
    Returns NULL if none was published yet. */
