--- a/core/work.h
+++ b/core/work.h
@@ -38,7 +38,8 @@
     uint64_t prefill_tokens; /* of the prompt, not cached */
     uint64_t need_tokens;    /* of KV memory; 0 for plain work */
     uint64_t service_ms;     /* estimate until the first token */
-    uint64_t prefill_left;   /* by our model of the engine */
+    uint64_t prefill_left;   /* by the model of the engine */
+    uint64_t modelled_ms;    /* when the model was through with it */
     bool is_short;
     uint64_t arrived_ms;
     uint64_t deadline_ms;
--- a/core/work_queue.c
+++ b/core/work_queue.c
@@ -134,22 +134,45 @@
 {
     uint64_t tokens =
         queue->prefill_rate * (now_ms - queue->modelled_ms) / MS_PER_S;
+    uint64_t spent = 0;
 
     if (tokens == 0) {
         return;
     }
-    queue->modelled_ms = now_ms;
-    for (guint i = 0; i < queue->prefilling->len && tokens > 0; i++) {
+    for (guint i = 0; i < queue->prefilling->len && spent < tokens; i++) {
         struct work *work = prefilling_at(queue, i);
-        uint64_t part =
-            work->prefill_left > 1 ? MIN(tokens, work->prefill_left - 1) : 0;
+        uint64_t part = MIN(tokens - spent, work->prefill_left);
 
-        work->prefill_left -= part;
-        tokens -= part;
+        if (work->prefill_left <= 1) {
+            continue;
+        }
+        spent += part;
+        work->prefill_left = MAX(work->prefill_left - part, 1);
+        if (work->prefill_left == 1) {
+            work->modelled_ms =
+                queue->modelled_ms + spent * MS_PER_S / queue->prefill_rate;
+        }
     }
+    queue->modelled_ms = now_ms;
+}
+
+static uint64_t
+window_tokens(const struct work_queue *queue)
+{
+    return queue->prefill_rate * queue->prefill_window_ms / MS_PER_S;
+}
+
+/* The model was through with it a while ago, but its first token has not come:
+   the engine is slower than the pool's table says. */
+static bool
+is_overdue(const struct work_queue *queue, const struct work *work)
+{
+    return work->prefill_left == 1 && work->prefill_tokens > 1 &&
+           queue->modelled_ms > work->modelled_ms + queue->prefill_window_ms;
 }
 
-/* Prefill that the engine does before this work's. */
+/* Prefill that the engine does before this work's. What is overdue counts so
+   much that nothing goes behind it. */
 static uint64_t
 tokens_ahead(const struct work_queue *queue, const struct work *work)
 {
@@ -161,7 +184,8 @@
         if (other->order_ms > work->order_ms) {
             break;
         }
-        tokens += other->prefill_left;
+        tokens += is_overdue(queue, other) ? 2 * window_tokens(queue)
+                                           : other->prefill_left;
     }
     return tokens;
 }
@@ -244,8 +268,7 @@
 static uint64_t
 tokens_too_many(const struct work_queue *queue, const struct work *work)
 {
-    uint64_t window =
-        queue->prefill_rate * queue->prefill_window_ms / MS_PER_S;
+    uint64_t window = window_tokens(queue);
     uint64_t ahead;
 
     if (queue->fifo || work->prefill_tokens == 0) {
--- a/entry/group.c
+++ b/entry/group.c
@@ -14,6 +14,8 @@
        others meanwhile. */
     PART_PERCENT = 90,
     PERCENT = 100,
+    HTTP_OK = 200,
+    RETRY_AFTER_MS = 1000,
 };
 
 struct hold {
