--- a/entry/group.c
+++ b/entry/group.c
@@ -100,10 +100,6 @@
 static void
 on_head(void *data, uint32_t status, const char *content_type)
 {
-    enum {
-        HTTP_OK = 200,
-        RETRY_AFTER_MS = 1000
-    };
     struct hold *hold = data;
 
     (void)content_type;
