The demonstration prints when answers came

Cause: curl sets its time to the first byte of long uploads while it still sends, so long prompts seemed to be answered within a millisecond. Now the time of the whole answer, which has four tokens, is printed.

Also: a script that is ended by SIGTERM ends what it has started; found when a benchmark ended by hand left its stand-ins behind.

--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -31,6 +31,7 @@
     rm -rf "$WORK"
 }
 trap clean_up EXIT
+trap 'exit 143' TERM INT
 
 # start NAME COMMAND...: runs it in the background, its output in a log.
 start() {
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -43,12 +43,12 @@
 get "http://$IP:7301/nothing"
 echo
 echo
-echo "Time to first byte by prompt length, with a prompt of 200,000 tokens"
+echo "Time to an answer of 4 tokens by prompt length, with a prompt of 200,000 tokens"
 echo "in progress at each engine (20,000 tokens/s each):"
 for n in 1 2 3; do
     prompt 800000 4 true "$n" >"$WORK/long-$n"
     curl -s -H 'Expect:' --max-time 120 -o /dev/null -d @"$WORK/long-$n" \
-        -w 'long: 200000 tokens, first byte after %{time_starttransfer} s\n' \
+        -w 'long: 200000 tokens, %{time_total} s\n' \
         "http://$IP:7301/v1/completions" >"$WORK/long-$n.out" &
     LONG[n]=$!
 done
@@ -56,7 +56,7 @@
     for letter in a b c; do
         prompt "$bytes" 4 true "$letter" >"$WORK/body"
         get -o /dev/null -d @"$WORK/body" \
-            -w "$((bytes / 4)) tokens: first byte after %{time_starttransfer} s\n" \
+            -w "$((bytes / 4)) tokens: %{time_total} s\n" \
             "http://$IP:7302/v1/completions"
     done
 done
