--- a/agent/endpoint_calls.c
+++ b/agent/endpoint_calls.c
@@ -45,8 +45,10 @@
     GQueue idle; /* struct http_session with a kept connection; by lock */
 };
 
-/* Shared by the loop thread, the call's thread and a stop; counted. */
+/* Shared by the loop thread, the call's thread and a stop. */
 struct call {
+    /* C11's, so that the thread sanitizer sees it. */
+    _Atomic uint32_t references;
     struct endpoint_calls *calls;
     struct work *work; /* valid until finished is reported */
     char id[ID_BYTES];
@@ -110,18 +112,14 @@
 }
 
 static void
-call_clear(gpointer data)
+call_release(struct call *call)
 {
-    struct call *call = data;
-
+    if (atomic_fetch_sub(&call->references, 1) > 1) {
+        return;
+    }
     pthread_mutex_destroy(&call->lock);
     pthread_cond_destroy(&call->changed);
-}
-
-static void
-call_release(struct call *call)
-{
-    g_atomic_rc_box_release_full(call, call_clear);
+    g_free(call);
 }
 
 static void
@@ -317,11 +315,12 @@
 static struct call *
 create_call(struct endpoint_calls *calls, struct work *work, uint64_t now_ms)
 {
-    struct call *call = g_atomic_rc_box_new0(struct call);
+    struct call *call = g_new0(struct call, 1);
     struct request_id id = work_id(work);
     uint64_t left_ms =
         work_deadline_ms(work) - MIN(now_ms, work_deadline_ms(work));
 
+    call->references = 1;
     call->calls = calls;
     call->work = work;
     snprintf(call->id, sizeof(call->id), "%016" PRIx64 "-%" PRIu64 "-%u",
@@ -386,8 +385,8 @@
     pthread_cond_signal(&call->changed);
     pthread_mutex_unlock(&call->lock);
     if (call->is_stream) {
-        worker_pool_run(calls->stop_pool, run_stop,
-                        g_atomic_rc_box_acquire(call));
+        atomic_fetch_add(&call->references, 1);
+        worker_pool_run(calls->stop_pool, run_stop, call);
     }
 }
 
--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -87,6 +87,57 @@
         n, e / n, a / n }'
 kill_hard callers
 
+echo "== Accounts with work waiting"
+for kind in one many; do
+    a0=$(rss_kb raspored-1)
+    for n in $(seq 1000); do
+        name=large
+        [ $kind = one ] || name=account-$n
+        printf 'url = "http://%s:7301/raspored/visits?delay=3000&n=%d"\n' \
+            "$IP" "$n"
+        printf 'output = "/dev/null"\nheader = "X-Account: %s"\n' "$name"
+        [ "$n" = 1000 ] || printf 'next\n'
+    done >"$WORK/urls"
+    start callers curl -s --parallel --parallel-immediate \
+        --parallel-max 300 -K "$WORK/urls"
+    sleep 2
+    echo "$kind: agent +$(($(rss_kb raspored-1) - a0)) KiB," \
+        "$(metric entry-1 dandelionfork_waiting) waiting"
+    kill_hard callers
+    sleep 4
+done
+
+echo "== Routes and pools"
+cp "$tables/routes.ini" "$WORK/routes.ini"
+cp "$WORK/pools.ini" "$WORK/pools-many.ini"
+for n in $(seq 1000); do
+    printf '[r-%d]\npaths = /r/%d\npool = p-%d\nclass = plain\n' \
+        "$n" "$n" "$n" >>"$WORK/routes.ini"
+    printf '[p-%d]\nclass = plain\nendpoints = p-%d-*\n' "$n" "$n" \
+        >>"$WORK/pools-many.ini"
+done
+e0=$(rss_kb entry-1) a0=$(rss_kb raspored-1)
+apply_tables "$WORK/routes.ini" "$WORK/pools-many.ini"
+wait_log raspored-1 "in force generation=$GENERATION"
+echo "1000 routes and 1000 pools, $(wc -c <"$WORK/head.json") bytes:" \
+    "entry +$(($(rss_kb entry-1) - e0)) KiB," \
+    "agent +$(($(rss_kb raspored-1) - a0)) KiB"
+for round in 1 2 3 4 5; do
+    apply_tables "$WORK/routes.ini" "$WORK/pools-many.ini"
+    wait_log raspored-1 "in force generation=$GENERATION"
+done
+echo "five generations later: entry +$(($(rss_kb entry-1) - e0)) KiB," \
+    "agent +$(($(rss_kb raspored-1) - a0)) KiB"
+
+echo "== The operators' command"
+c0=$(calls)
+sed 's/time_limit = 5s/time_limit = 6s/' "$tables/routes.ini" \
+    >"$WORK/edit.ini"
+"$BIN/dandelionfork" apply --store "$IP:7000" --base $GENERATION \
+    --routes "$WORK/edit.ini" --pools "$WORK/pools.ini" --timeout 0s ||
+    echo "apply ended with $?"
+echo "an edit: $(($(calls) - c0)) platform calls"
+
 echo "== Endpoints known"
 for count in 1000 5300; do
     r0=$(rss_kb entry-1)
@@ -104,7 +155,7 @@
 for name in entry-1 raspored-1 savjetnik-1 engine-1; do kill_hard $name; done
 
 # --- growing fleets, all agents beside one plain stand-in
-for entries in 2 4 8; do
+for entries in ${FLEETS-2 4 8}; do
     agents=$((entries * 10))
     INSTANCES=""
     listed=""
--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -15,7 +15,7 @@
     echo "FAILED: $*" >&2
     for log in "$WORK"/*.log; do
         echo "--- ${log##*/}" >&2
-        tail -n 15 "$log" >&2
+        tail -n ${LOG_LINES:-15} "$log" >&2
     done
     exit 1
 }
--- a/tests/faults/bad_input.sh
+++ b/tests/faults/bad_input.sh
@@ -1,6 +1,8 @@
 # Bad requests and hostile frames: a clear error in one form each, nothing
 # lost, no process stops.
-ENTRY_SETTINGS="max_body = 1MiB"
+ENTRY_SETTINGS="max_body = 1MiB
+body_memory = 1MiB"
+ENGINE_ARGUMENTS="--token-us 20000"
 . "$(dirname "$0")/lib/fleet.sh"
 start_fleet
 
@@ -49,6 +51,22 @@
     -H "X-Long: $(head -c 60000 /dev/zero | tr '\0' a)" "$ENTRY/healthz"
 expect "over-long headers" "$(status_of headers)" 431
 
+# No memory for another body: refused at once with a time to come back, and taken
+# again when there is.
+prompt 600000 1000 true >"$WORK/half"
+request first -d @"$WORK/half" "$complete"
+wait_until engines_hold_something
+bad full 503 -d @"$WORK/half" "$complete"
+[ -n "$(header_of full Retry-After)" ] || fail "full, but no Retry-After"
+kill_hard first
+wait_until engines_are_empty
+prompt 600000 1 >"$WORK/half"
+taken() {
+    get -d @"$WORK/half" -D "$WORK/taken.head" -o /dev/null "$complete" &&
+        [ "$(status_of taken)" = 200 ]
+}
+wait_until taken
+
 # Hostile frames on an agent's port: a random stream, a truncated frame, a
 # frame of two gigabytes, a greeting of another version, a frame before it.
 hostile() {
