Read once more: dead code out, repeated steps of two tests in one place

Cause: fair_share_active() and a field of the session test's events had no reader; tests/faults/group.sh looked for a busy member in three equal loops; test_binding.c set up and ended both its cases alike.

Left: group_size() and group_create() choose members one after the other; one call could do both.

--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -41,12 +41,6 @@
     return share->next_ms <= *now_ms;
 }
 
-uint32_t
-fair_share_active(const struct fair_share *share)
-{
-    return g_hash_table_size(share->accounts);
-}
-
 uint64_t
 fair_share_start_ms(struct fair_share *fair, const char *account,
                     uint64_t service_ms, uint64_t now_ms)
--- a/core/fair_share.h
+++ b/core/fair_share.h
@@ -21,7 +21,4 @@
 void fair_share_return(struct fair_share *fair, const char *account,
                        uint64_t service_ms, uint64_t now_ms);
 
-/* Accounts that have tags in the future. */
-uint32_t fair_share_active(const struct fair_share *share);
-
 #endif
--- a/tests/faults/group.sh
+++ b/tests/faults/group.sh
@@ -42,7 +42,15 @@
 }
 nothing_held() { [ "$(held)" = 0 ]; }
 held_at_least() { [ "$(held)" -ge "$1" ]; }
-streams_at() { [ "$(engine_stat "$1" streams)" -ge 1 ]; }
+
+# busy_member: the first engine that has a stream; the last if none has.
+busy_member() {
+    local n
+    for n in $(seq $engines); do
+        if [ "$(engine_stat "$n" streams)" != 0 ]; then break; fi
+    done
+    echo "$n"
+}
 
 # 4600 tokens: three parts of 1537.
 prompt 18000 100 true >"$WORK/large"
@@ -80,9 +88,7 @@
 for step in 1500 3000 4600; do
     request member -d @"$WORK/large" "$complete"
     wait_until held_at_least $step
-    for n in $(seq $engines); do
-        if [ "$(engine_stat "$n" streams)" != 0 ]; then break; fi
-    done
+    n=$(busy_member)
     kill_hard "savjetnik-$n"
     reap member || true
     start_agent "savjetnik-$n"
@@ -91,9 +97,7 @@
 for step in 1500 4600; do
     request member -d @"$WORK/large" "$complete"
     wait_until held_at_least $step
-    for n in $(seq $engines); do
-        if [ "$(engine_stat "$n" streams)" != 0 ]; then break; fi
-    done
+    n=$(busy_member)
     kill_hard "engine-$n"
     reap member || true
     start_one_engine "$n"
@@ -103,9 +107,7 @@
 # A member's agent is frozen: its part lapses, and it is free on waking.
 request frozen -d @"$WORK/large" "$complete"
 wait_until held_at_least 4600
-for n in $(seq $engines); do
-    if [ "$(engine_stat "$n" streams)" != 0 ]; then break; fi
-done
+n=$(busy_member)
 signal STOP "savjetnik-$n"
 reap frozen || true
 signal CONT "savjetnik-$n"
--- a/tests/session_world.c
+++ b/tests/session_world.c
@@ -18,7 +18,6 @@
     struct request *request;
     struct work *work;
     struct dispatch *dispatch;
-    int part;
 };
 
 struct world world;
--- a/tests/unit/test_binding.c
+++ b/tests/unit/test_binding.c
@@ -122,9 +122,14 @@
     binding_message(binding, 0, 1, &message, 10);
 }
 
-/* Parts that overlap, as after a cut that lost a credit. */
-static void
-test_overlap(void)
+struct part {
+    uint64_t offset;
+    size_t bytes;
+};
+
+/* Plays a granted request whose answer comes in these parts. */
+static struct caller
+play_parts(const struct part *parts, size_t count)
 {
     struct caller caller = {.got = g_byte_array_new()};
     const struct binding_request request = {.time_limit_ms = 1000};
@@ -134,15 +139,25 @@
     binding_start(binding, 0);
     frame(binding, MESSAGE_OFFER, 0, 0);
     frame(binding, MESSAGE_HEAD, 0, 0);
-    frame(binding, MESSAGE_CHUNK, 0, 8);
-    frame(binding, MESSAGE_CHUNK, 4, 8);
-    frame(binding, MESSAGE_CHUNK, 2, 6);
-    frame(binding, MESSAGE_CHUNK, 6, sizeof(whole) - 6);
+    for (size_t i = 0; i < count; i++) {
+        frame(binding, MESSAGE_CHUNK, parts[i].offset, parts[i].bytes);
+    }
     frame(binding, MESSAGE_END, sizeof(whole), 0);
+    binding_destroy(binding);
+    return caller;
+}
+
+/* Parts that overlap, as after a cut that lost a credit. */
+static void
+test_overlap(void)
+{
+    static const struct part parts[] = {
+        {0, 8}, {4, 8}, {2, 6}, {6, sizeof(whole) - 6}};
+    struct caller caller = play_parts(parts, G_N_ELEMENTS(parts));
+
     g_assert_cmpuint(caller.results, ==, 1);
     g_assert_true(caller.result.complete);
     g_assert_cmpmem(caller.got->data, caller.got->len, whole, sizeof(whole));
-    binding_destroy(binding);
     g_byte_array_unref(caller.got);
 }
 
@@ -150,21 +165,12 @@
 static void
 test_gap(void)
 {
-    struct caller caller = {.got = g_byte_array_new()};
-    const struct binding_request request = {.time_limit_ms = 1000};
-    struct binding *binding =
-        binding_create(&settings, &request, &ops, &caller);
+    static const struct part parts[] = {{0, 4}, {8, sizeof(whole) - 8}};
+    struct caller caller = play_parts(parts, G_N_ELEMENTS(parts));
 
-    binding_start(binding, 0);
-    frame(binding, MESSAGE_OFFER, 0, 0);
-    frame(binding, MESSAGE_HEAD, 0, 0);
-    frame(binding, MESSAGE_CHUNK, 0, 4);
-    frame(binding, MESSAGE_CHUNK, 8, sizeof(whole) - 8);
-    frame(binding, MESSAGE_END, sizeof(whole), 0);
     g_assert_cmpuint(caller.results, ==, 1);
     g_assert_false(caller.result.complete);
     g_assert_cmpint(caller.result.outcome, ==, OUTCOME_RAN);
-    binding_destroy(binding);
     g_byte_array_unref(caller.got);
 }
 
