A prompt that is too dear now is told when there will be room

Cause: a refused long prompt was told to come back after 400 ms, whatever was left to read: in a wave it came back into the same wave and was refused again. The placement now says how long the reading that is left takes until the prompt would be placed, late, and that is its Retry-After (at least 400 ms) and a field of its log line.

--- a/core/placement.c
+++ b/core/placement.c
@@ -325,9 +325,9 @@
     }
 }
 
-/* What a millisecond of an engine is worth, by how much there is to read. */
+/* What an engine has left to read, in the mean. */
 static double
-engine_ms_worth(const GArray *candidates)
+mean_reading_ms(const GArray *candidates)
 {
     double reading_ms = 0.0;
 
@@ -335,21 +335,28 @@
         reading_ms +=
             g_array_index(candidates, struct candidate, i).load.reading_ms;
     }
-    return full_engine_ms_worth *
-           MIN(1.0, reading_ms / candidates->len / full_reading_ms);
+    return reading_ms / candidates->len;
 }
 
 /* A prompt that takes more engine time than it is worth is not placed while
-   there is other work: reading grows with the square of its length. */
-static bool
-is_too_dear(const struct placement_request *request, const GArray *candidates,
-            double first_ms)
+   there is other work: reading grows with the square of its length. Returns
+   the time until it would be placed if nothing else came, late then; 0: now.
+   */
+static double
+dear_ms(const struct placement_request *request, const GArray *candidates,
+        double first_ms)
 {
-    double read_ms = engine_model_read_ms(&request->service->engine,
-                                          request->prompt_tokens, 1);
+    double price =
+        full_engine_ms_worth * engine_model_read_ms(&request->service->engine,
+                                                    request->prompt_tokens, 1);
+    double reading_ms = mean_reading_ms(candidates);
     double gained = request->worth - own_loss(request, first_ms);
+    double late = request->worth * (1.0 - late_loss);
 
-    return gained < read_ms * engine_ms_worth(candidates);
+    if (gained >= price * MIN(1.0, reading_ms / full_reading_ms)) {
+        return 0.0;
+    }
+    return MAX(reading_ms - full_reading_ms * MIN(1.0, late / price), 1.0);
 }
 
 static void
@@ -389,8 +396,7 @@
     if (list->len > 0) {
         if (request->service->has_engine && request->prompt_tokens > 0) {
             choose_engines(request, list, random, placement);
-            placement->too_dear =
-                is_too_dear(request, list, placement->first_ms);
+            placement->dear_ms = dear_ms(request, list, placement->first_ms);
         }
         else {
             choose_plain(request, list, random, placement);
--- a/core/placement.h
+++ b/core/placement.h
@@ -39,8 +39,9 @@
     uint32_t holders;     /* helpers that hold a part */
     uint64_t part_tokens; /* that each of them holds */
     double first_ms;      /* expected until the first event; prompts only */
-    bool too_dear;        /* not placed: the engines' time is worth more with
-                             what else there is to do */
+    double dear_ms;       /* over 0: not placed, the engines' time is worth
+                             more with what else there is to do; it would be
+                             after so long if nothing else came */
 };
 
 /* What a prompt in time is worth, in units of a plain call. */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -358,7 +358,8 @@
         return;
     }
     /* A stream that goes on elsewhere has its place. */
-    if (assignment->placement.too_dear && forward->sends == 0) {
+    if (assignment->placement.dear_ms > 0.0 && forward->sends == 0) {
+        forward->busy_ms = (uint32_t)assignment->placement.dear_ms;
         relay_give_up(forward, STATUS_BAD_GATEWAY,
                       "engines are busy with what is worth more");
         return;
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -62,6 +62,7 @@
     uint32_t sends;
     uint32_t unreached;
     bool may_have_run;
+    uint32_t busy_ms; /* expected until there is room; 0: not known */
     /* The answer. */
     enum answer_state answer;
     uint32_t status;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -41,7 +41,7 @@
         "request ended",
         "id=%s outcome=%s status=%u why=\"%s\" route=%s account=%s "
         "endpoint=%s engines=%u sends=%u unreached=%u "
-        "tokens=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT
+        "tokens=%" G_GUINT64_FORMAT " busy_ms=%u ms=%" G_GUINT64_FORMAT
         " first_ms=%" G_GUINT64_FORMAT " pause_ms=%" G_GUINT64_FORMAT
         " version=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
         forward_id(forward), outcome, status, why,
@@ -49,7 +49,7 @@
         admitted->account != NULL ? admitted->account->name : "-",
         endpoint != NULL ? endpoint->id : "-",
         forward->assignment.placement.count, forward->sends,
-        forward->unreached, forward->terms.prompt_tokens,
+        forward->unreached, forward->terms.prompt_tokens, forward->busy_ms,
         forward_now_ms(forward) - forward->begun_ms, forward->pace.first_ms,
         forward->pace.longest_pause_ms,
         forward->catalog != NULL ? catalog_version(forward->catalog) : 0,
@@ -75,7 +75,8 @@
     log_outcome(forward, status, not_run ? "not-run" : "own-answer", why);
     answer_head_begin(head, status);
     platform_write_refusal(head, forward->terms.id,
-                           not_run ? RETRY_AFTER_MS : 0);
+                           not_run ? MAX(RETRY_AFTER_MS, forward->busy_ms)
+                                   : 0);
     caller_answer(forward->caller, head, "", 0);
     g_byte_array_unref(head);
 }
--- a/tests/placement_runner.c
+++ b/tests/placement_runner.c
@@ -7,7 +7,7 @@
      end NAME                  it has ended
      busy ENGINE COUNT CLASS   other gateways have so many streams there
      gateways NAME COUNT       places as that gateway, one of so many
-     reading ENGINE MS         other gateways have so much to read there
+     reading ENGINE MS         other gateways have so much more to read there
    and # for comments. */
 
 #include <glib.h>
@@ -188,8 +188,9 @@
        here. */
     placement_choose(&request, usable, run->now_ms, run->random,
                      &prompt->placement);
-    if (prompt->placement.too_dear) {
-        printf("%5lu %s refused\n", (unsigned long)run->now_ms, name);
+    if (prompt->placement.dear_ms > 0.0) {
+        printf("%5lu %s refused for %.0f ms\n", (unsigned long)run->now_ms,
+               name, prompt->placement.dear_ms);
         prompt->placement.count = 0;
     }
     else {
