An entry created by the change right after a whole list is taken

Cause: what a whole list lacked was noted as removed one revision after the list's, so that the store's next change, if it was that entry's return, counted as old and was left out until the next list. Test: /directory/created-again, which failed before. The kinds of the store's keys are told by platform/ now, and removals have a function of their own.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -115,7 +115,7 @@
 static void
 take_endpoint(struct directory *directory, const struct store_item *item)
 {
-    const char *id = item->key + strlen(PLATFORM_ENDPOINT_PREFIX);
+    const char *id = platform_endpoint_id(item->key);
     bool changed = false;
     const struct endpoint *endpoint;
 
@@ -138,26 +138,21 @@
 static void
 interpret(struct directory *directory, const struct store_item *item)
 {
-    if (strcmp(item->key, PLATFORM_CONFIG_KEY) == 0) {
+    switch (platform_item_of(item->key)) {
+    case PLATFORM_ITEM_CONFIG:
         take_config(directory, item);
-    }
-    else if (g_str_has_prefix(item->key, PLATFORM_ENDPOINT_PREFIX)) {
+        break;
+    case PLATFORM_ITEM_ENDPOINT:
         take_endpoint(directory, item);
-    }
-    else if (g_str_has_prefix(item->key, PLATFORM_MEMBER_PREFIX)) {
+        break;
+    case PLATFORM_ITEM_GATEWAY:
         directory->handlers.gateways(directory->data);
+        break;
+    case PLATFORM_ITEM_OTHER:
+        break;
     }
 }
 
-/* The items that this gateway reads. */
-static bool
-is_followed(const char *key)
-{
-    return strcmp(key, PLATFORM_CONFIG_KEY) == 0 ||
-           g_str_has_prefix(key, PLATFORM_ENDPOINT_PREFIX) ||
-           g_str_has_prefix(key, PLATFORM_MEMBER_PREFIX);
-}
-
 /* Entries by lease may lapse with the store and come back with it. */
 static bool
 may_come_back(const struct directory *directory, uint64_t now_ms)
@@ -185,29 +180,11 @@
 }
 
 static void
-take_item(struct directory *directory, const struct store_item *item,
-          uint64_t now_ms)
+replace_item(struct directory *directory, const struct store_item *item)
 {
     struct directory_item *known =
         g_hash_table_lookup(directory->items, item->key);
 
-    if (!is_followed(item->key)) {
-        return;
-    }
-    if (known != NULL && item->revision <= known->revision) {
-        /* It is there, though a removal had been noticed. */
-        if (item->revision == known->revision && item->bytes != NULL) {
-            known->lapsed = false;
-        }
-        return;
-    }
-    if (known != NULL && known->bytes != NULL && item->bytes == NULL &&
-        strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 &&
-        may_come_back(directory, now_ms)) {
-        known->lapsed = true;
-        directory->has_lapsed = true;
-        return;
-    }
     if (known == NULL) {
         known = g_new0(struct directory_item, 1);
         g_hash_table_insert(directory->items, g_strdup(item->key), known);
@@ -223,6 +200,49 @@
     interpret(directory, item);
 }
 
+/* Takes an item off, or holds it where it may come back. */
+static void
+remove_item(struct directory *directory, const struct store_item *removal,
+            uint64_t now_ms)
+{
+    struct directory_item *known =
+        g_hash_table_lookup(directory->items, removal->key);
+
+    if (known != NULL && known->bytes != NULL &&
+        platform_item_of(removal->key) != PLATFORM_ITEM_CONFIG &&
+        may_come_back(directory, now_ms)) {
+        known->lapsed = true;
+        directory->has_lapsed = true;
+        return;
+    }
+    replace_item(directory, removal);
+}
+
+static void
+take_item(struct directory *directory, const struct store_item *item,
+          uint64_t now_ms)
+{
+    struct directory_item *known =
+        g_hash_table_lookup(directory->items, item->key);
+
+    if (platform_item_of(item->key) == PLATFORM_ITEM_OTHER) {
+        return;
+    }
+    if (known != NULL && item->revision <= known->revision) {
+        /* It is there, though a removal had been noticed. */
+        if (item->revision == known->revision && item->bytes != NULL) {
+            known->lapsed = false;
+        }
+        return;
+    }
+    if (item->bytes == NULL) {
+        remove_item(directory, item, now_ms);
+    }
+    else {
+        replace_item(directory, item);
+    }
+}
+
 /* Entries that a whole list lacks are gone. */
 static void
 take_missing(struct directory *directory, const struct store_items *items,
@@ -251,10 +271,10 @@
     for (guint i = 0; i < missing->len; i++) {
         struct store_item removal = {
             .key = g_ptr_array_index(missing, i),
-            .revision = items->revision + 1,
+            .revision = items->revision,
         };
 
-        take_item(directory, &removal, now_ms);
+        remove_item(directory, &removal, now_ms);
     }
     g_ptr_array_free(missing, TRUE);
     g_hash_table_destroy(present);
@@ -327,7 +347,7 @@
             .revision = directory->revision,
         };
 
-        take_item(directory, &removal, now_ms);
+        remove_item(directory, &removal, now_ms);
     }
     g_ptr_array_free(gone, TRUE);
 }
@@ -387,7 +407,7 @@
         const struct directory_item *item = value;
 
         if (item->bytes != NULL &&
-            g_str_has_prefix(key, PLATFORM_MEMBER_PREFIX)) {
+            platform_item_of(key) == PLATFORM_ITEM_GATEWAY) {
             g_ptr_array_add(addresses,
                             g_strndup((const char *)item->bytes, item->count));
         }
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -305,7 +305,7 @@
     static const struct store_follow_handlers handlers = {on_items,
                                                           on_reachable};
     const struct gateway_settings *from = &gateway->settings.gateway;
-    char *key = g_strconcat(PLATFORM_MEMBER_PREFIX, from->instance, NULL);
+    char *key = platform_gateway_key(from->instance);
     char *value = g_strdup_printf("%s:%u", from->peers.ip, from->peers.port);
     const struct store_follow_settings settings = {
         .ip = gateway->settings.platform.store.ip,
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -210,6 +210,21 @@
     destroy_world(world);
 }
 
+/* The very next change after a whole list may be the return of what it
+   lacked. */
+static void
+test_created_again_after_a_list(void)
+{
+    struct world *world = create_world();
+
+    change(world, "servers/w", worker, 10, 100);
+    read_empty(world, 12, 200);
+    g_assert_false(knows_worker(world));
+    change(world, "servers/w", worker, 13, 300);
+    g_assert_true(knows_worker(world));
+    destroy_world(world);
+}
+
 /* Leaving is never held back: it is the store's word, not a lapse. */
 static void
 test_leaving_is_taken_after_an_outage(void)
@@ -286,6 +301,8 @@
     g_test_add_func("/directory/lapsed", test_lapsed_entry_is_held);
     g_test_add_func("/directory/own-cut", test_own_cut_holds_nothing);
     g_test_add_func("/directory/back", test_lapsed_entry_comes_back);
+    g_test_add_func("/directory/created-again",
+                    test_created_again_after_a_list);
     g_test_add_func("/directory/leaving",
                     test_leaving_is_taken_after_an_outage);
     g_test_add_func("/directory/handed-on", test_handed_on_whole);
