A few gateways follow the platform's store for all

Now the first few by rendezvous hashing watch (4, or one for 8 gateways); the others ask four of them every 500 ms, fetch what has changed, and watch themselves while nobody has told news for 1.3 s. Other gateways are asked the more seldom the more there are.

A watch that ended without news proves the store's state at its end, no longer only at the question; after news the followers' watches end in turns.

--- a/core/homes.c
+++ b/core/homes.c
@@ -1,5 +1,6 @@
 #include "core/homes.h"
 
+#include <glib.h>
 #include <stdint.h>
 #include <string.h>
 #include <xxhash.h>
@@ -10,18 +11,53 @@
     return XXH64(entry, strlen(entry), XXH64(agent, strlen(agent), 0));
 }
 
-bool
-homes_is_home(const char *agent, const char *own, const char *const *entries,
-              size_t entry_count)
+size_t
+homes_rank(const char *key, const char *own, const char *const *entries,
+           size_t entry_count)
 {
-    uint64_t own_weight = weight(agent, own);
+    uint64_t own_weight = weight(key, own);
     size_t heavier = 0;
 
-    for (size_t i = 0; i < entry_count && heavier < HOMES_PER_AGENT; i++) {
+    for (size_t i = 0; i < entry_count; i++) {
         if (strcmp(entries[i], own) != 0 &&
-            weight(agent, entries[i]) > own_weight) {
+            weight(key, entries[i]) > own_weight) {
             heavier++;
         }
     }
-    return heavier < HOMES_PER_AGENT;
+    return heavier;
+}
+
+static gint
+compare_weights(gconstpointer a, gconstpointer b, gpointer key)
+{
+    uint64_t first = weight(key, *(const char *const *)a);
+    uint64_t second = weight(key, *(const char *const *)b);
+
+    if (first == second) {
+        return 0;
+    }
+    return first > second ? -1 : 1;
+}
+
+GPtrArray *
+homes_first(const char *key, const char *const *entries, size_t entry_count,
+            size_t most, const char *except)
+{
+    GPtrArray *first = g_ptr_array_new();
+
+    for (size_t i = 0; i < entry_count; i++) {
+        if (g_strcmp0(entries[i], except) != 0) {
+            g_ptr_array_add(first, (gpointer)entries[i]);
+        }
+    }
+    g_ptr_array_sort_with_data(first, compare_weights, (gpointer)key);
+    g_ptr_array_set_size(first, (gint)MIN(first->len, most));
+    return first;
+}
+
+bool
+homes_is_home(const char *agent, const char *own, const char *const *entries,
+              size_t entry_count)
+{
+    return homes_rank(agent, own, entries, entry_count) < HOMES_PER_AGENT;
 }
--- a/core/message.c
+++ b/core/message.c
@@ -95,10 +95,11 @@
     [MESSAGE_PEER_STATE] = {"peer-state",
                             3,
                             {U64(stamp_ms), U64(revision), U64(age_ms)}},
-    [MESSAGE_SNAPSHOT_ASK] = {"snapshot-ask", 1, {U64(stamp_ms)}},
+    [MESSAGE_SNAPSHOT_ASK] = {"snapshot-ask", 2, {U64(stamp_ms), U64(since)}},
     [MESSAGE_SNAPSHOT] = {"snapshot",
-                          4,
-                          {U64(stamp_ms), U64(revision), U64(age_ms), DATA}},
+                          5,
+                          {U64(stamp_ms), U64(revision), U64(age_ms),
+                           U64(since), DATA}},
 };
 
 const char *
--- a/core/message.h
+++ b/core/message.h
@@ -36,7 +36,7 @@
     MESSAGE_PEER_LOAD,    /* what the sender has running, see peer_load.h */
     MESSAGE_PEER_ASK,     /* how new is what you know of the store? */
     MESSAGE_PEER_STATE,   /* the answer, with the question's time stamp */
-    MESSAGE_SNAPSHOT_ASK, /* send what you know */
+    MESSAGE_SNAPSHOT_ASK, /* send what you know, or what has changed since */
     MESSAGE_SNAPSHOT,     /* the answer, see store_items.h */
     MESSAGE_TYPE_COUNT,
 };
@@ -91,6 +91,7 @@
     uint64_t stamp_ms;   /* the asking process's clock at its question */
     uint64_t revision;   /* of the store, up to which the sender knows it */
     uint64_t age_ms;     /* since that revision was known to be the newest */
+    uint64_t since;      /* revision from which the changes go on; 0: all */
     const uint8_t *data; /* borrowed: from the caller, or from the frame */
     size_t data_bytes;
 };
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -374,7 +374,7 @@
 }
 
 struct store_items *
-directory_items(const struct directory *directory)
+directory_items(const struct directory *directory, uint64_t since)
 {
     struct store_items *items = store_items_create();
     GHashTableIter iter;
@@ -386,7 +386,7 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const struct directory_item *item = value;
 
-        if (item->bytes != NULL) {
+        if (item->revision > since && (item->bytes != NULL || since > 0)) {
             store_items_add(items, key, item->bytes, item->count,
                             item->revision);
         }
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -58,8 +58,10 @@
 
 uint64_t directory_revision(const struct directory *directory);
 
-/* All items, to be handed on. Free with store_items_destroy(). */
-struct store_items *directory_items(const struct directory *directory);
+/* What has changed after a revision, removals too, or all items (0), to be
+   handed on. Free with store_items_destroy(). */
+struct store_items *directory_items(const struct directory *directory,
+                                    uint64_t since);
 
 /* Addresses ("ip:port") of the gateways, this one among them. Free with
    g_ptr_array_free(). */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -7,6 +7,7 @@
 
 #include "core/catalog.h"
 #include "core/endpoints.h"
+#include "core/followers.h"
 #include "gateway/callers.h"
 #include "gateway/directory.h"
 #include "gateway/forward.h"
@@ -29,7 +30,7 @@
 #define LOG_PART "gateway"
 
 enum {
-    TICK_MS = 250,
+    TICK_MS = 100,
     /* Between looks at the settings file, which may change unannounced. */
     SETTINGS_LOOK_MS = 1000,
     /* Of the grace, kept for the end of the process itself. */
@@ -56,6 +57,7 @@
     struct store_follow *follow;
     bool draining;
     bool was_ready;
+    bool follows_store;
     uint64_t ends_ms; /* draining: when the grace is over */
 };
 
@@ -126,11 +128,11 @@
 
 static void
 on_items(void *data, const struct store_items *items, bool all,
-         uint64_t asked_ms)
+         uint64_t proven_ms)
 {
     struct gateway *gateway = data;
 
-    directory_take(gateway->directory, items, all, asked_ms, loop_boot_ms());
+    directory_take(gateway->directory, items, all, proven_ms, loop_boot_ms());
 }
 
 static void
@@ -210,12 +212,39 @@
     reread_settings(gateway);
 }
 
+/* A few gateways follow the store for all. */
+static void
+choose_follower(struct gateway *gateway, uint64_t boot_ms)
+{
+    uint32_t places = followers_count(peers_count(gateway->peers));
+    uint32_t rank = peers_follower_rank(gateway->peers);
+    const struct store_follow_turn turn = {
+        .active = peers_need_store(gateway->peers, boot_ms),
+        .revision = directory_revision(gateway->directory),
+        .place = MIN(rank, places - 1),
+        .places = places};
+
+    store_follow_set_turn(gateway->follow, &turn);
+    if (turn.active == gateway->follows_store) {
+        return;
+    }
+    gateway->follows_store = turn.active;
+    if (!turn.active) {
+        directory_store_reachable(gateway->directory, false);
+    }
+    LOG_INFO(turn.active ? "follows the store" : "leaves the store to others",
+             "revision=%" PRIu64 " age_ms=%" PRIu64 " rank=%u gateways=%u",
+             turn.revision, directory_age_ms(gateway->directory, boot_ms),
+             rank, peers_count(gateway->peers));
+}
+
 static void
 on_tick(void *data, uint64_t now_ms)
 {
     struct gateway *gateway = data;
 
     directory_tick(gateway->directory, loop_boot_ms());
+    choose_follower(gateway, loop_boot_ms());
     if (now_ms >= gateway->looked_ms + SETTINGS_LOOK_MS) {
         gateway->looked_ms = now_ms;
         look_at_settings(gateway);
@@ -319,6 +348,7 @@
 
     gateway->follow =
         store_follow_create(gateway->loop, &settings, &handlers, gateway);
+    gateway->follows_store = true;
     g_free(key);
     g_free(value);
 }
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "core/endpoints.h"
+#include "core/followers.h"
 #include "core/ini.h"
 #include "core/message.h"
 #include "core/peer_load.h"
@@ -41,6 +42,7 @@
     struct link *link;
     uint64_t heard_ms;
     bool listed;
+    bool is_asked; /* for news of the store, often */
 };
 
 /* Another gateway's link to us. */
@@ -68,6 +70,9 @@
     uint64_t load_sent_ms;
     uint64_t fetched_ms; /* when a snapshot was asked for last */
     uint32_t count;
+    uint32_t rank;    /* among those that may follow the store */
+    uint64_t told_ms; /* the newest that others have told is of then */
+    uint64_t asks;
 };
 
 static void
@@ -100,14 +105,19 @@
     send_load(data, now_ms);
 }
 
+/* How many times more gateways there are than a few. */
+static uint64_t
+times_few(const struct peers *peers)
+{
+    return (peers->count + FEW_GATEWAYS - 1) / FEW_GATEWAYS;
+}
+
 /* What a gateway receives grows with the number of the others, and so does
    what it sends: both stay as they are with a few. */
 static uint64_t
 load_interval_ms(const struct peers *peers)
 {
-    uint64_t times = (peers->count + FEW_GATEWAYS - 1) / FEW_GATEWAYS;
-
-    return peers->load_ms * times * times;
+    return peers->load_ms * times_few(peers) * times_few(peers);
 }
 
 void
@@ -157,12 +167,18 @@
 {
     struct peers *peers = peer->peers;
     uint64_t now_ms = loop_now_ms(peers->loop);
-    struct message request = {.type = MESSAGE_SNAPSHOT_ASK};
+    struct message request = {.type = MESSAGE_SNAPSHOT_ASK,
+                              .since = directory_revision(peers->directory)};
 
-    if (message->age_ms == UINT64_MAX ||
-        directory_prove(peers->directory, message->revision,
-                        proven_ms(message), loop_boot_ms()) ||
-        directory_is_followed(peers->directory, loop_boot_ms(),
+    if (message->age_ms == UINT64_MAX) {
+        return;
+    }
+    if (directory_prove(peers->directory, message->revision,
+                        proven_ms(message), loop_boot_ms())) {
+        peers->told_ms = MAX(peers->told_ms, proven_ms(message));
+        return;
+    }
+    if (directory_is_followed(peers->directory, loop_boot_ms(),
                               FETCH_AGE_MS) ||
         now_ms < peers->fetched_ms + FETCH_PAUSE_MS) {
         return;
@@ -186,10 +202,13 @@
     }
     items->revision = message->revision;
     LOG_INFO("knowledge of the store taken from a peer",
-             "address=%s revision=%" G_GUINT64_FORMAT
-             " age_ms=%" G_GUINT64_FORMAT,
-             peer->address, message->revision, message->age_ms);
-    directory_take(directory, items, true, proven_ms(message), loop_boot_ms());
+             "address=%s since=%" G_GUINT64_FORMAT
+             " revision=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
+             peer->address, message->since, message->revision,
+             message->age_ms);
+    directory_take(directory, items, message->since == 0, proven_ms(message),
+                   loop_boot_ms());
+    peer->peers->told_ms = MAX(peer->peers->told_ms, proven_ms(message));
     store_items_destroy(items);
 }
 
@@ -282,6 +301,43 @@
     return TRUE;
 }
 
+static void
+choose_followers(struct peers *peers, const GPtrArray *addresses)
+{
+    const char *const *list = (const char *const *)addresses->pdata;
+    GPtrArray *asked =
+        followers_asked(peers->own_address, list, addresses->len);
+    GHashTableIter iter;
+    gpointer value;
+
+    peers->rank = followers_rank(peers->own_address, list, addresses->len);
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct peer *peer = value;
+
+        /* Seeds are asked while no list is known. */
+        peer->is_asked = addresses->len == 0 ||
+                         g_ptr_array_find_with_equal_func(asked, peer->address,
+                                                          g_str_equal, NULL);
+    }
+    g_ptr_array_free(asked, TRUE);
+}
+
+uint32_t
+peers_follower_rank(const struct peers *peers)
+{
+    return peers->rank;
+}
+
+bool
+peers_need_store(const struct peers *peers, uint64_t now_ms)
+{
+    return followers_needed(peers->rank, peers->count,
+                            peers->told_ms == 0
+                                ? UINT64_MAX
+                                : now_ms - MIN(peers->told_ms, now_ms));
+}
+
 /* Not from within a link's handler, since it ends links. */
 static void
 on_list_timer(void *data, uint64_t now_ms)
@@ -305,6 +361,7 @@
     }
     g_hash_table_foreach_remove(peers->by_address, is_unlisted, NULL);
     peers->count = g_hash_table_size(peers->by_address) + 1;
+    choose_followers(peers, addresses);
     g_ptr_array_free(addresses, TRUE);
 }
 
@@ -339,11 +396,12 @@
 answer_snapshot(struct guest *guest, const struct message *question)
 {
     struct directory *directory = guest->peers->directory;
-    struct store_items *items = directory_items(directory);
+    struct store_items *items = directory_items(directory, question->since);
     GByteArray *data = g_byte_array_new();
     struct message message = {.type = MESSAGE_SNAPSHOT,
                               .stamp_ms = question->stamp_ms,
                               .revision = items->revision,
+                              .since = question->since,
                               .age_ms =
                                   directory_age_ms(directory, loop_boot_ms())};
 
@@ -443,6 +501,14 @@
     g_ptr_array_add(peers->guests, guest);
 }
 
+/* Those that this gateway needs no news from are asked the more seldom the
+   more there are. */
+static uint64_t
+asked_every(const struct peer *peer)
+{
+    return peer->is_asked ? 1 : times_few(peer->peers);
+}
+
 /* Connections may go silent without an end. */
 static void
 check_silence(struct peers *peers, uint64_t now_ms)
@@ -457,13 +523,15 @@
         if (peer->link == NULL) {
             connect_peer(peer);
         }
-        else if (now_ms > peer->heard_ms + SILENT_MS) {
+        else if (now_ms > peer->heard_ms + SILENT_MS * asked_every(peer)) {
             link_close(peer->link, "silent");
         }
-        else if (link_is_up(peer->link)) {
+        else if (link_is_up(peer->link) &&
+                 peers->asks % asked_every(peer) == 0) {
             ask(peer);
         }
     }
+    peers->asks++;
     for (guint i = 0; i < peers->guests->len; i++) {
         struct guest *guest = g_ptr_array_index(peers->guests, i);
 
--- a/gateway/peers.h
+++ b/gateway/peers.h
@@ -1,6 +1,7 @@
 #ifndef GATEWAY_PEERS_H
 #define GATEWAY_PEERS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Links between the gateways. Each connects to all others: over its own links
@@ -34,6 +35,12 @@
 /* What this gateway has running has changed: told soon. */
 void peers_load_changed(struct peers *peers);
 
+/* This gateway's place among those that may follow the store. Whether it has
+   to follow it now: others do it for all, but it is one of them, or they have
+   not told their news in time. Times are of loop_boot_ms(). */
+uint32_t peers_follower_rank(const struct peers *peers);
+bool peers_need_store(const struct peers *peers, uint64_t now_ms);
+
 /* How many gateways there are, this one counted. At least 1. */
 uint32_t peers_count(const struct peers *peers);
 
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -37,6 +37,9 @@
     bool reachable;
     bool kept; /* the own entry; of its thread alone */
     _Atomic bool leaving;
+    pthread_mutex_t mutex; /* of what follows */
+    pthread_cond_t changed;
+    struct store_follow_turn turn;
 };
 
 struct follow_news {
@@ -45,7 +48,7 @@
     bool all;
     bool reachable;
     char *why;
-    uint64_t asked_ms;
+    uint64_t proven_ms;
 };
 
 static void
@@ -57,7 +60,7 @@
     (void)now_ms;
     if (news->items != NULL) {
         follow->handlers.items(follow->data, news->items, news->all,
-                               news->asked_ms);
+                               news->proven_ms);
     }
     else {
         follow->handlers.reachable(follow->data, news->reachable, news->why);
@@ -69,14 +72,14 @@
 
 static void
 post_items(struct store_follow *follow, struct store_items *items, bool all,
-           uint64_t asked_ms)
+           uint64_t proven_ms)
 {
     struct follow_news *news = g_new0(struct follow_news, 1);
 
     news->follow = follow;
     news->items = items;
     news->all = all;
-    news->asked_ms = asked_ms;
+    news->proven_ms = proven_ms;
     loop_post(follow->loop, deliver, news);
 }
 
@@ -137,28 +140,57 @@
     return revision;
 }
 
+/* A watch that has ended without news has waited its time at the store, after
+   it was asked for. */
+static uint64_t
+proven_by_watch(const struct store_items *changes, uint64_t asked_ms,
+                uint32_t wait_ms)
+{
+    if (changes->list->len > 0 || loop_boot_ms() < asked_ms + wait_ms) {
+        return asked_ms;
+    }
+    return asked_ms + wait_ms;
+}
+
+/* The first watch after news ends the sooner, the nearer to the front the
+   place is: from then on the ends are spread. */
+static uint32_t
+next_wait_ms(struct store_follow *follow, bool after_news)
+{
+    uint32_t wait_ms = follow->settings.watch_wait_ms;
+
+    if (after_news) {
+        pthread_mutex_lock(&follow->mutex);
+        wait_ms =
+            wait_ms * (follow->turn.place + 1) / MAX(follow->turn.places, 1);
+        pthread_mutex_unlock(&follow->mutex);
+    }
+    return wait_ms;
+}
+
 /* Waits for changes. Returns the revision to go on from, 0 if all has to be
-   read again; *failed tells of an error. */
+   read again; *failed tells of an error, *news of changes. */
 static uint64_t
 read_changes(struct store_follow *follow, struct store *store,
-             uint64_t revision, bool *failed)
+             uint64_t revision, bool *news, bool *failed)
 {
     GError *error = NULL;
     struct store_items *changes = NULL;
+    uint32_t wait_ms = next_wait_ms(follow, *news);
     uint64_t asked_ms = loop_boot_ms();
-    bool had_news;
     enum store_watch result = follow->settings.ops->watch(
-        store, follow->settings.prefix, revision,
-        follow->settings.watch_wait_ms, &changes, &error);
+        store, follow->settings.prefix, revision, wait_ms, &changes, &error);
 
     *failed = result == STORE_WATCH_FAILED;
+    *news = false;
     switch (result) {
     case STORE_WATCH_NEWS:
         revision = changes->revision;
-        had_news = changes->list->len > 0;
-        post_items(follow, changes, false, asked_ms);
+        *news = changes->list->len > 0;
+        post_items(follow, changes, false,
+                   proven_by_watch(changes, asked_ms, wait_ms));
         note_reachable(follow, true, "");
-        if (had_news) {
+        if (*news) {
             usleep(NEWS_PAUSE_MS * US_PER_MS);
         }
         return revision;
@@ -174,6 +206,23 @@
     return 0;
 }
 
+/* Waits while others follow. Returns the revision to go on from. */
+static uint64_t
+wait_until_active(struct store_follow *follow, uint64_t revision)
+{
+    pthread_mutex_lock(&follow->mutex);
+    while (!follow->turn.active) {
+        follow->reachable = false;
+        pthread_cond_wait(&follow->changed, &follow->mutex);
+    }
+    /* 0: everything has to be read anyway. */
+    if (revision > 0) {
+        revision = MAX(revision, follow->turn.revision);
+    }
+    pthread_mutex_unlock(&follow->mutex);
+    return revision;
+}
+
 static void *
 follow_items(void *data)
 {
@@ -181,16 +230,18 @@
     struct store *store = open_store(follow);
     uint32_t pause_ms = FIRST_PAUSE_MS;
     uint64_t revision = 0;
+    bool news = true;
 
     for (;;) {
         bool failed = false;
 
+        revision = wait_until_active(follow, revision);
         if (revision == 0) {
             revision = read_all(follow, store);
             failed = revision == 0;
         }
         else {
-            revision = read_changes(follow, store, revision, &failed);
+            revision = read_changes(follow, store, revision, &news, &failed);
         }
         if (failed) {
             pause_spread(&pause_ms);
@@ -306,11 +357,24 @@
     follow->data = data;
     /* The first answer, or the first failure, is said. */
     follow->reachable = false;
+    pthread_mutex_init(&follow->mutex, NULL);
+    pthread_cond_init(&follow->changed, NULL);
+    follow->turn = (struct store_follow_turn){.active = true, .places = 1};
     start_thread(follow_items, follow);
     start_thread(keep_member, follow);
     return follow;
 }
 
+void
+store_follow_set_turn(struct store_follow *follow,
+                      const struct store_follow_turn *turn)
+{
+    pthread_mutex_lock(&follow->mutex);
+    follow->turn = *turn;
+    pthread_cond_signal(&follow->changed);
+    pthread_mutex_unlock(&follow->mutex);
+}
+
 void
 store_follow_leave(struct store_follow *follow)
 {
--- a/io/store_follow.h
+++ b/io/store_follow.h
@@ -25,9 +25,9 @@
 /* Told on the loop thread. Times are of loop_boot_ms(). */
 struct store_follow_handlers {
     /* All items (all), or those that changed. They say how the store was at
-       some time after asked_ms. The items are freed after the call. */
+       proven_ms or later. The items are freed after the call. */
     void (*items)(void *data, const struct store_items *items, bool all,
-                  uint64_t asked_ms);
+                  uint64_t proven_ms);
     /* The store was lost, or answers again. */
     void (*reachable)(void *data, bool reachable, const char *why);
 };
@@ -39,6 +39,19 @@
                     const struct store_follow_settings *settings,
                     const struct store_follow_handlers *handlers, void *data);
 
+struct store_follow_turn {
+    bool active; /* whether the store is followed, or left to others */
+    /* When it is followed again, from which revision on. */
+    uint64_t revision;
+    /* Place among so many that follow it: their watches end in turns. */
+    uint32_t place;
+    uint32_t places; /* at least 1 */
+};
+
+/* At the start the store is followed, by this process alone. */
+void store_follow_set_turn(struct store_follow *follow,
+                           const struct store_follow_turn *turn);
+
 /* Removes this process's entry, soon; returns at once. */
 void store_follow_leave(struct store_follow *follow);
 
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -252,7 +252,7 @@
     change(first, "op/config", "{\"version\":5}", 10, 0);
     change(first, "servers/w", worker, 11, 0);
     change(first, "other/key", "x", 12, 0);
-    items = directory_items(first->directory);
+    items = directory_items(first->directory, 0);
     g_assert_cmpuint(items->list->len, ==, 2);
     g_assert_cmpuint(items->revision, ==, 12);
     directory_take(second->directory, items, true, 100, 200);
@@ -263,6 +263,39 @@
     destroy_world(second);
 }
 
+/* Only what is new, removals too; through the form on the wire. */
+static void
+test_changes_handed_on(void)
+{
+    struct world *first = create_world();
+    struct world *second = create_world();
+    struct store_items *items;
+    struct store_items *received;
+    GByteArray *wire = g_byte_array_new();
+
+    change(first, "op/config", "{\"version\":5}", 10, 0);
+    change(first, "servers/w", worker, 11, 0);
+    change(second, "op/config", "{\"version\":5}", 10, 0);
+    change(second, "servers/w", worker, 11, 0);
+    change(first, "servers/w", NULL, 12, 0);
+    change(first, "servers/other", worker, 13, 0);
+    items = directory_items(first->directory,
+                            directory_revision(second->directory));
+    g_assert_cmpuint(items->list->len, ==, 2);
+    store_items_encode(items, wire);
+    received = store_items_decode(wire->data, wire->len);
+    received->revision = items->revision;
+    directory_take(second->directory, received, false, 100, 200);
+    g_assert_false(knows_worker(second));
+    g_assert_nonnull(endpoints_find(second->endpoints, "other"));
+    g_assert_cmpuint(directory_revision(second->directory), ==, 13);
+    g_byte_array_unref(wire);
+    store_items_destroy(received);
+    store_items_destroy(items);
+    destroy_world(first);
+    destroy_world(second);
+}
+
 static void
 test_unreadable_entries(void)
 {
@@ -306,6 +339,7 @@
     g_test_add_func("/directory/leaving",
                     test_leaving_is_taken_after_an_outage);
     g_test_add_func("/directory/handed-on", test_handed_on_whole);
+    g_test_add_func("/directory/changes-handed-on", test_changes_handed_on);
     g_test_add_func("/directory/unreadable", test_unreadable_entries);
     return g_test_run();
 }
