A fault soak over the real gateways; a hangup at the start waits

tests/soak: five gateways as processes against the stand-ins of the users' store and workers, faults by seed through loopback proxies, signals and the stand-ins' switches, callers that keep calling, and 16 promises checked meanwhile.

--- a/gateway/main.c
+++ b/gateway/main.c
@@ -397,6 +397,7 @@
 {
     static struct gateway gateway;
 
+    process_hold_signals();
     switch (gateway_settings_start(argc, argv, &gateway.settings,
                                    &gateway.settings_path)) {
     case SETTINGS_STOP:
--- a/io/process.c
+++ b/io/process.c
@@ -89,6 +89,18 @@
     return signalfd(-1, set, SFD_CLOEXEC | SFD_NONBLOCK);
 }
 
+void
+process_hold_signals(void)
+{
+    sigset_t set;
+
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
 bool
 process_drain_on_signals(struct loop *loop, const struct process_drain *drain,
                          void *data)
--- a/io/process.h
+++ b/io/process.h
@@ -20,6 +20,11 @@
     bool (*idle)(void *data, uint64_t now_ms);
 };
 
+/* Lets SIGTERM, SIGINT and SIGHUP wait until the functions below take them. To
+   be called first, so that none of them ends a process that has just started.
+   */
+void process_hold_signals(void);
+
 /* Ignores SIGPIPE, and drains on SIGTERM and SIGINT. To be called before any
    thread starts. The drain is copied. Returns false with errno. */
 bool process_drain_on_signals(struct loop *loop,
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,278 @@
+/* The fault soak: the real programs against the stand-ins, faults by seed, and
+   the promises checked from what callers and workers see. Prints each fault,
+   each broken promise, and a line at the end; the exit status is 1 if a
+   promise was broken. Logs are kept then. */
+
+#include <argtable2.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "tests/fakes/fake_server.h"
+#include "tests/soak/soak_book.h"
+#include "tests/soak/soak_callers.h"
+#include "tests/soak/soak_faults.h"
+#include "tests/soak/soak_fleet.h"
+#include "tests/soak/soak_operator.h"
+#include "tests/soak/soak_trouble.h"
+
+enum {
+    TICK_US = 10 * 1000,
+    CALLERS = 10,
+    DEFAULT_SECONDS = 20,
+    MS_PER_S = 1000,
+    /* The users' pages: seconds until service is back, and until memory that
+       nobody uses is free. */
+    RECOVER_MS = 15000,
+    FREE_MS = 4000,
+    END_MS = 9500, /* the gateways' grace and some */
+    START_MS = 15000,
+    EXIT_USAGE = 2,
+    /* A run that takes so much longer than its faults hangs. */
+    HANG_S = 90,
+};
+
+struct soak {
+    struct soak_fleet fleet;
+    struct soak_faults *faults;
+    struct soak_callers *callers;
+};
+
+static struct soak soak;
+
+static void
+end_processes(void)
+{
+    soak_fleet_destroy(&soak.fleet);
+}
+
+/* Waits for the alarm of a run that hangs, or for the word to end. */
+static void *
+watch_run(void *data)
+{
+    const sigset_t *set = data;
+    int signal_number;
+
+    sigwait(set, &signal_number);
+    printf("not ok hangs, or was told to end: signal %d\n", signal_number);
+    end_processes();
+    _exit(EXIT_FAILURE);
+}
+
+static void
+start_watch(uint64_t seconds)
+{
+    static sigset_t set;
+    pthread_t thread;
+
+    signal(SIGPIPE, SIG_IGN);
+    sigemptyset(&set);
+    sigaddset(&set, SIGALRM);
+    sigaddset(&set, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &set, NULL);
+    if (pthread_create(&thread, NULL, watch_run, &set) != 0) {
+        g_error("no thread to watch the run");
+    }
+    alarm((unsigned)seconds + HANG_S);
+}
+
+static void
+tick(void)
+{
+    usleep(TICK_US);
+    soak_fleet_reap(&soak.fleet);
+    soak_fleet_read_workers(&soak.fleet);
+}
+
+/* Waits until all gateways serve. Returns whether they do in time. */
+static bool
+wait_until_served(uint64_t from_ms, uint64_t limit_ms)
+{
+    uint32_t served = 0;
+
+    while (served < SOAK_GATEWAYS) {
+        uint64_t now_ms = fake_clock_ms();
+
+        if (now_ms > from_ms + limit_ms + soak_lag_ms(from_ms, now_ms)) {
+            return false;
+        }
+        tick();
+        if (soak.faults != NULL) {
+            soak_faults_restart(soak.faults, now_ms);
+        }
+        if (soak_operator_gateway_ready(served) &&
+            soak_callers_is_served(&soak.fleet, served)) {
+            served++;
+        }
+    }
+    return true;
+}
+
+static void
+start_all(void)
+{
+    for (uint32_t i = 0; i < SOAK_WORKERS; i++) {
+        soak_operator_register(i, "ready");
+    }
+    soak_operator_configure();
+    for (uint32_t i = 0; i < SOAK_GATEWAYS; i++) {
+        soak_process_start(soak.fleet.gateways[i]);
+    }
+    if (!wait_until_served(fake_clock_ms(), START_MS)) {
+        fprintf(stderr, "the fleet does not serve, see %s\n",
+                soak.fleet.settings.work);
+        exit(EXIT_FAILURE);
+    }
+}
+
+static void
+run_faults(uint64_t seconds)
+{
+    uint64_t end_ms = fake_clock_ms() + seconds * MS_PER_S;
+
+    while (fake_clock_ms() < end_ms) {
+        tick();
+        soak_faults_tick(soak.faults, fake_clock_ms());
+    }
+}
+
+static void
+check_recovery(void)
+{
+    uint64_t from_ms = fake_clock_ms();
+
+    soak_faults_end(soak.faults, from_ms);
+    if (!wait_until_served(from_ms, RECOVER_MS)) {
+        soak_book_fail("recover", "not all gateways serve after %d ms",
+                       RECOVER_MS);
+    }
+}
+
+/* Once nothing runs any more. */
+static void
+check_memory(void)
+{
+    uint64_t from_ms = fake_clock_ms();
+
+    for (uint32_t i = SOAK_PLAIN_WORKERS; i < SOAK_WORKERS; i++) {
+        int64_t held;
+
+        while ((held = soak_operator_held(i)) != 0) {
+            uint64_t now_ms = fake_clock_ms();
+
+            if (now_ms > from_ms + FREE_MS + soak_lag_ms(from_ms, now_ms)) {
+                soak_book_fail("memory", "worker-%u holds %ld tokens", i + 1,
+                               (long)held);
+                break;
+            }
+            tick();
+        }
+    }
+}
+
+static void
+end_gateways(void)
+{
+    uint64_t from_ms = fake_clock_ms();
+    bool any = true;
+
+    for (uint32_t i = 0; i < SOAK_GATEWAYS; i++) {
+        soak_process_signal(soak.fleet.gateways[i], SIGTERM);
+    }
+    while (any) {
+        uint64_t now_ms = fake_clock_ms();
+
+        tick();
+        any = false;
+        for (uint32_t i = 0; i < SOAK_GATEWAYS; i++) {
+            any |= soak_process_is_running(soak.fleet.gateways[i]);
+        }
+        if (now_ms > from_ms + END_MS + soak_lag_ms(from_ms, now_ms)) {
+            soak_book_fail("grace", "a gateway still runs at the end");
+            return;
+        }
+    }
+}
+
+static void
+remove_folder(const char *path)
+{
+    GDir *folder = g_dir_open(path, 0, NULL);
+    const char *name;
+
+    while (folder != NULL && (name = g_dir_read_name(folder)) != NULL) {
+        char *file = g_build_filename(path, name, NULL);
+
+        g_unlink(file);
+        g_free(file);
+    }
+    if (folder != NULL) {
+        g_dir_close(folder);
+    }
+    g_rmdir(path);
+}
+
+static int
+run(const struct soak_fleet_settings *settings, uint64_t seed,
+    uint64_t seconds, bool timed)
+{
+    soak_book_init(seed);
+    soak_lag_start(timed);
+    soak_operator_init(settings->ip);
+    atexit(end_processes);
+    soak_fleet_create(&soak.fleet, settings);
+    start_all();
+    soak.faults = soak_faults_create(&soak.fleet, seed);
+    soak.callers = soak_callers_start(&soak.fleet, CALLERS, seed);
+    run_faults(seconds);
+    check_recovery();
+    soak_callers_stop(soak.callers);
+    check_memory();
+    end_gateways();
+    soak_fleet_read_workers(&soak.fleet);
+    soak_book_close();
+    printf("seed=%lu faults=%u broken=%u\n", (unsigned long)seed,
+           soak_faults_count(soak.faults), soak_book_failures());
+    return soak_book_failures() == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main(int argc, char **argv)
+{
+    struct arg_str *bin = arg_str1(NULL, "bin", "FOLDER", "the programs");
+    struct arg_str *ip = arg_str1(NULL, "ip", "ADDRESS", "a loopback address");
+    struct arg_int *seed = arg_int1(NULL, "seed", "N", "of the faults");
+    struct arg_int *seconds = arg_int0(NULL, "seconds", "N", "of faults (20)");
+    struct arg_lit *untimed =
+        arg_lit0(NULL, "untimed", "bounds in time are not judged");
+    struct arg_end *errors = arg_end(5);
+    void *table[] = {bin, ip, seed, seconds, untimed, errors};
+    struct soak_fleet_settings settings;
+    char *work;
+    int status;
+
+    seconds->ival[0] = DEFAULT_SECONDS;
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, errors, "soak");
+        arg_print_glossary(stderr, table, NULL);
+        return EXIT_USAGE;
+    }
+    start_watch((uint64_t)seconds->ival[0]);
+    setvbuf(stdout, NULL, _IOLBF, 0);
+    work = g_dir_make_tmp("soak-XXXXXX", NULL);
+    settings = (struct soak_fleet_settings){
+        .bin = bin->sval[0], .work = work, .ip = ip->sval[0]};
+    status = run(&settings, (uint64_t)seed->ival[0],
+                 (uint64_t)seconds->ival[0], untimed->count == 0);
+    if (status == EXIT_SUCCESS) {
+        remove_folder(work);
+    }
+    else {
+        printf("logs: %s\n", work);
+    }
+    return status;
+}
--- /dev/null
+++ b/tests/soak/soak_client.c
@@ -0,0 +1,236 @@
+#include "tests/soak/soak_client.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/fakes/fake_server.h"
+
+enum {
+    READ_BYTES = 16 * 1024,
+    /* Callers allow a new connection a second. */
+    CONNECT_MS = 1000,
+};
+
+struct soak_client {
+    char *ip;
+    uint16_t port;
+    int fd; /* -1: none */
+    http_parser parser;
+    char field[64]; /* header being read */
+    struct soak_answer *answer;
+    bool is_whole;
+};
+
+static int
+on_field(http_parser *parser, const char *at, size_t length)
+{
+    struct soak_client *client = parser->data;
+
+    g_strlcpy(client->field, at, MIN(length + 1, sizeof(client->field)));
+    return 0;
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t length)
+{
+    struct soak_client *client = parser->data;
+    struct soak_answer *answer = client->answer;
+
+    if (g_ascii_strcasecmp(client->field, "Response-Signature") == 0) {
+        answer->has_signature = true;
+    }
+    else if (g_ascii_strcasecmp(client->field, "Attempt-Id") == 0) {
+        g_strlcpy(answer->id, at, MIN(length + 1, sizeof(answer->id)));
+    }
+    return 0;
+}
+
+static int
+on_headers(http_parser *parser)
+{
+    struct soak_client *client = parser->data;
+
+    client->answer->status = parser->status_code;
+    return 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t length)
+{
+    struct soak_client *client = parser->data;
+
+    g_string_append_len(client->answer->body, at, (gssize)length);
+    return 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+    struct soak_client *client = parser->data;
+
+    client->is_whole = true;
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_headers,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+struct soak_client *
+soak_client_create(const char *ip, uint16_t port)
+{
+    struct soak_client *client = g_new0(struct soak_client, 1);
+
+    client->ip = g_strdup(ip);
+    client->port = port;
+    client->fd = -1;
+    return client;
+}
+
+static void
+disconnect(struct soak_client *client)
+{
+    if (client->fd >= 0) {
+        close(client->fd);
+        client->fd = -1;
+    }
+}
+
+void
+soak_client_destroy(struct soak_client *client)
+{
+    disconnect(client);
+    g_free(client->ip);
+    g_free(client);
+}
+
+bool
+soak_client_is_open(const struct soak_client *client)
+{
+    return client->fd >= 0;
+}
+
+static bool
+wait_for(int fd, short events, uint64_t until_ms)
+{
+    struct pollfd item = {.fd = fd, .events = events};
+    uint64_t now_ms = fake_clock_ms();
+
+    return now_ms < until_ms && poll(&item, 1, (int)(until_ms - now_ms)) > 0;
+}
+
+static bool
+open_connection(struct soak_client *client)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons(client->port)};
+    int error = 0;
+    socklen_t size = sizeof(error);
+
+    inet_pton(AF_INET, client->ip, &at.sin_addr);
+    client->fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (connect(client->fd, (const struct sockaddr *)&at, sizeof(at)) == 0) {
+        return true;
+    }
+    if (errno == EINPROGRESS &&
+        wait_for(client->fd, POLLOUT, fake_clock_ms() + CONNECT_MS) &&
+        getsockopt(client->fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+        error == 0) {
+        return true;
+    }
+    disconnect(client);
+    return false;
+}
+
+static bool
+send_all(const struct soak_client *client, const char *bytes,
+         uint64_t until_ms)
+{
+    size_t left = strlen(bytes);
+
+    while (left > 0) {
+        ssize_t sent = send(client->fd, bytes, left, MSG_NOSIGNAL);
+
+        if (sent > 0) {
+            bytes += sent;
+            left -= (size_t)sent;
+        }
+        else if (errno != EAGAIN || !wait_for(client->fd, POLLOUT, until_ms)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Reads once. Returns whether the answer may go on. */
+static bool
+read_some(struct soak_client *client, struct soak_answer *answer)
+{
+    char bytes[READ_BYTES];
+    ssize_t count = recv(client->fd, bytes, sizeof(bytes), 0);
+    size_t parsed;
+
+    if (count < 0 && errno == EAGAIN) {
+        return true;
+    }
+    parsed = http_parser_execute(&client->parser, &parser_settings, bytes,
+                                 count > 0 ? (size_t)count : 0);
+    if (client->is_whole) {
+        answer->end = SOAK_WHOLE;
+        return false;
+    }
+    if (count <= 0) {
+        answer->end = SOAK_CUT;
+        return false;
+    }
+    if (parsed != (size_t)count) {
+        answer->end = SOAK_BAD;
+        return false;
+    }
+    return true;
+}
+
+void
+soak_client_call(struct soak_client *client, const char *request,
+                 uint64_t leave_ms, struct soak_answer *answer)
+{
+    uint64_t until_ms;
+
+    *answer = (struct soak_answer){.body = g_string_new(NULL)};
+    if (client->fd < 0 && !open_connection(client)) {
+        answer->end = SOAK_UNSENT;
+        return;
+    }
+    client->answer = answer;
+    client->is_whole = false;
+    http_parser_init(&client->parser, HTTP_RESPONSE);
+    client->parser.data = client;
+    until_ms = fake_clock_ms() + leave_ms;
+    answer->end = SOAK_CUT;
+    if (send_all(client, request, until_ms)) {
+        answer->end = SOAK_LEFT;
+        while (wait_for(client->fd, POLLIN, until_ms) &&
+               read_some(client, answer)) {
+        }
+    }
+    if (answer->end != SOAK_WHOLE ||
+        !http_should_keep_alive(&client->parser)) {
+        disconnect(client);
+    }
+}
+
+void
+soak_answer_clear(struct soak_answer *answer)
+{
+    g_string_free(answer->body, TRUE);
+}
--- /dev/null
+++ b/tests/soak/soak_trouble.c
@@ -0,0 +1,135 @@
+#include "tests/soak/soak_trouble.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <unistd.h>
+
+#include "tests/fakes/fake_server.h"
+
+enum {
+    TICK_MS = 10,
+    US_PER_MS = 1000,
+    /* Less is within what the bounds allow anyway. */
+    LEAST_LAG_MS = 20,
+    ANY = UINT32_MAX,
+};
+
+struct span {
+    enum soak_place place;
+    uint32_t index;
+    uint64_t from_ms;
+    uint64_t to_ms; /* UINT64_MAX: not over */
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GArray *spans; /* struct span; of disturbances */
+static GArray *lags;  /* struct span */
+static bool is_timed;
+
+/* Longer than any run, and small enough to be added to a time. */
+static const uint64_t endless_ms = UINT64_MAX / 4;
+
+static uint32_t
+add_span(GArray **list, const struct span *span)
+{
+    uint32_t number;
+
+    pthread_mutex_lock(&lock);
+    if (*list == NULL) {
+        *list = g_array_new(FALSE, FALSE, sizeof(struct span));
+    }
+    number = (*list)->len;
+    g_array_append_val(*list, *span);
+    pthread_mutex_unlock(&lock);
+    return number;
+}
+
+uint32_t
+soak_trouble_begin(enum soak_place place, uint32_t index, uint64_t now_ms)
+{
+    const struct span span = {place, index, now_ms, UINT64_MAX};
+
+    return add_span(&spans, &span);
+}
+
+void
+soak_trouble_end(uint32_t number, uint64_t now_ms)
+{
+    pthread_mutex_lock(&lock);
+    g_array_index(spans, struct span, number).to_ms = now_ms;
+    pthread_mutex_unlock(&lock);
+}
+
+bool
+soak_trouble_free(enum soak_place place, uint32_t index, uint64_t from_ms,
+                  uint64_t to_ms)
+{
+    bool is_free = true;
+
+    pthread_mutex_lock(&lock);
+    for (guint i = 0; spans != NULL && i < spans->len; i++) {
+        const struct span *span = &g_array_index(spans, struct span, i);
+
+        if (span->place == place && (index == ANY || span->index == index) &&
+            span->from_ms <= to_ms && span->to_ms >= from_ms) {
+            is_free = false;
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return is_free;
+}
+
+bool
+soak_trouble_free_all(enum soak_place place, uint64_t from_ms, uint64_t to_ms)
+{
+    return soak_trouble_free(place, ANY, from_ms, to_ms);
+}
+
+static void *
+measure_lag(void *data)
+{
+    (void)data;
+    for (;;) {
+        struct span span = {.from_ms = fake_clock_ms()};
+
+        usleep(TICK_MS * US_PER_MS);
+        span.to_ms = fake_clock_ms();
+        if (span.to_ms >= span.from_ms + TICK_MS + LEAST_LAG_MS) {
+            add_span(&lags, &span);
+        }
+    }
+    return NULL;
+}
+
+void
+soak_lag_start(bool timed)
+{
+    pthread_t thread;
+
+    is_timed = timed;
+
+    if (pthread_create(&thread, NULL, measure_lag, NULL) != 0) {
+        g_error("no thread to measure the lag");
+    }
+    pthread_detach(thread);
+}
+
+uint64_t
+soak_lag_ms(uint64_t from_ms, uint64_t to_ms)
+{
+    uint64_t sum_ms = 0;
+
+    if (!is_timed) {
+        return endless_ms;
+    }
+    pthread_mutex_lock(&lock);
+    for (guint i = 0; lags != NULL && i < lags->len; i++) {
+        const struct span *span = &g_array_index(lags, struct span, i);
+
+        if (span->from_ms <= to_ms && span->to_ms >= from_ms) {
+            sum_ms += span->to_ms - span->from_ms - TICK_MS;
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return sum_ms;
+}
