What one gateway holds back as lapsed is handed on as removed

Cause: a gateway that noticed a removal after an outage of the store held the entry for 2.5 s and dropped it then, without a change that the others could fetch: those that take their news from it kept an endpoint that was gone. Removals are handed on when they are noticed; each gateway judges itself whether to hold them. Test: /directory/held-removal-handed-on, which failed before.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -27,7 +27,9 @@
     uint8_t *bytes; /* NULL: removed */
     size_t count;
     uint64_t revision;
-    bool lapsed; /* missing since the store's return, not given up yet */
+    /* When it was removed, though it is held since it may come back; 0: it is
+       there. */
+    uint64_t lapsed_revision;
 };
 
 struct directory {
@@ -196,7 +198,7 @@
     }
     known->count = item->count;
     known->revision = item->revision;
-    known->lapsed = false;
+    known->lapsed_revision = 0;
     interpret(directory, item);
 }
 
@@ -211,7 +213,7 @@
     if (known != NULL && known->bytes != NULL &&
         platform_item_of(removal->key) != PLATFORM_ITEM_CONFIG &&
         may_come_back(directory, now_ms)) {
-        known->lapsed = true;
+        known->lapsed_revision = removal->revision;
         directory->has_lapsed = true;
         return;
     }
@@ -231,7 +233,7 @@
     if (known != NULL && item->revision <= known->revision) {
         /* It is there, though a removal had been noticed. */
         if (item->revision == known->revision && item->bytes != NULL) {
-            known->lapsed = false;
+            known->lapsed_revision = 0;
         }
         return;
     }
@@ -337,14 +339,16 @@
     gone = g_ptr_array_new_with_free_func(g_free);
     g_hash_table_iter_init(&iter, directory->items);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        if (((struct directory_item *)value)->lapsed) {
+        if (((struct directory_item *)value)->lapsed_revision > 0) {
             g_ptr_array_add(gone, g_strdup(key));
         }
     }
     for (guint i = 0; i < gone->len; i++) {
+        const struct directory_item *item =
+            g_hash_table_lookup(directory->items, g_ptr_array_index(gone, i));
         struct store_item removal = {
             .key = g_ptr_array_index(gone, i),
-            .revision = directory->revision,
+            .revision = item->lapsed_revision,
         };
 
         remove_item(directory, &removal, now_ms);
@@ -386,9 +390,13 @@
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const struct directory_item *item = value;
 
-        if (item->revision > since && (item->bytes != NULL || since > 0)) {
-            store_items_add(items, key, item->bytes, item->count,
-                            item->revision);
+        /* Whether to hold a removal back is everybody's own judgement. */
+        bool removed = item->bytes == NULL || item->lapsed_revision > 0;
+        uint64_t revision = MAX(item->revision, item->lapsed_revision);
+
+        if (revision > since && (!removed || since > 0)) {
+            store_items_add(items, key, removed ? NULL : item->bytes,
+                            removed ? 0 : item->count, revision);
         }
     }
     return items;
--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -10,7 +10,8 @@
     -DCMAKE_C_FLAGS=-Wno-error >/dev/null
 targets="session_runner placement_runner test_directory test_gateway_core \
     test_callers test_dispatch_random test_binding_random \
-    test_binding test_message test_store_follow test_followers"
+    test_binding test_message test_store_follow test_followers \
+    test_upstreams"
 ninja -C "$copy/build" $targets >/dev/null
 
 # Tests on real processes need all programs.
--- a/tests/faults/gateway_store.sh
+++ b/tests/faults/gateway_store.sh
@@ -59,6 +59,11 @@
 wait_until version_in_force 2 "$VERSION"
 expect "removed key" "$(call "$GATEWAY2" /plain/x "${key[@]}")" 401
 
+# What a peer tells may lack the peer itself: its link ends, after its message.
+store_control 'remove?key=dandelionfork/gateways/gateway-1'
+wait_log gateway-2 'link down .* why="left the list"'
+expect "call after it" "$(call "$GATEWAY2" /once/x -d y)" 200
+
 # A gateway that starts is asked before it has read the store: the request waits
 # for it, and is refused as not run if nothing comes.
 kill_hard gateway-1
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -69,12 +69,15 @@
     return SOAK_SAFE;
 }
 
-/* A removed key now and then. */
+/* A removed key now and then, the last one as often as all others. */
 static uint32_t
 choose_key(struct caller *caller)
 {
     uint32_t newest = soak_operator_key();
 
+    if (newest > 0 && chance(caller, 0.15)) {
+        return newest - 1;
+    }
     if (newest > 0 && chance(caller, 0.15)) {
         return (uint32_t)g_rand_int_range(caller->random, 0, (gint32)newest);
     }
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -296,6 +296,34 @@
     destroy_world(second);
 }
 
+/* A removal that one gateway holds back is news for the others too, which hold
+   it by what they know themselves. */
+static void
+test_held_removal_handed_on(void)
+{
+    struct world *first = create_world();
+    struct world *second = create_world();
+    struct store_items *items;
+
+    change(first, "servers/w", worker, 10, 100);
+    change(second, "servers/w", worker, 10, 4900);
+    change(first, "servers/w", NULL, 12, 5000);
+    g_assert_true(knows_worker(first));
+    items = directory_items(first->directory, 10);
+    directory_take(second->directory, items, false, 5000, 5100);
+    g_assert_false(knows_worker(second));
+    store_items_destroy(items);
+    destroy_world(second);
+    /* All that is known to one that knows nothing: not what may be gone. */
+    second = create_world();
+    items = directory_items(first->directory, 0);
+    directory_take(second->directory, items, true, 5000, 5100);
+    g_assert_false(knows_worker(second));
+    store_items_destroy(items);
+    destroy_world(first);
+    destroy_world(second);
+}
+
 static void
 test_unreadable_entries(void)
 {
@@ -340,6 +368,8 @@
                     test_leaving_is_taken_after_an_outage);
     g_test_add_func("/directory/handed-on", test_handed_on_whole);
     g_test_add_func("/directory/changes-handed-on", test_changes_handed_on);
+    g_test_add_func("/directory/held-removal-handed-on",
+                    test_held_removal_handed_on);
     g_test_add_func("/directory/unreadable", test_unreadable_entries);
     return g_test_run();
 }
