A log that is appended to keeps its lines over restarts

Cause: the log made standard output non-blocking by setting that flag alone, which took O_APPEND away: a restarted gateway wrote over the lines of its life before, so that nobody could have traced what led to the restart. Test: faults_gateway_signals wants both lives in the log, which failed before.

--- a/io/log.c
+++ b/io/log.c
@@ -28,12 +28,16 @@
 log_configure(enum log_level level, enum log_format format,
               enum log_output output)
 {
+    int flags;
+
     max_level = level;
     line_format = format;
     if (output == LOG_STDOUT) {
         output_fd = STDOUT_FILENO;
-        /* Without it a full pipe would hold up the caller. */
-        if (fcntl(output_fd, F_SETFL, O_NONBLOCK) != 0) {
+        flags = fcntl(output_fd, F_GETFL);
+        /* Without it a full pipe would hold up the caller. What else is set
+           stays: a file that is appended to keeps its lines. */
+        if (flags < 0 || fcntl(output_fd, F_SETFL, flags | O_NONBLOCK) != 0) {
             output_fd = STDERR_FILENO;
         }
     }
--- a/tests/faults/gateway_signals.sh
+++ b/tests/faults/gateway_signals.sh
@@ -26,10 +26,12 @@
 give_settings
 wait_log gateway-1 'settings read again'
 kill_hard gateway-1
-rm "$WORK/gateway-1.log"
 
 start_slowly
 signal TERM gateway-1
 give_settings
 wait_log gateway-1 'draining signal=15'
 wait_log gateway-1 'gateway: ended'
+
+# The log of the life before is still there.
+expect "lives in the log" "$(grep -c 'gateway: started' "$WORK/gateway-1.log")" 2
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -60,6 +60,7 @@
     uint32_t index;
     uint64_t begun_ms;
     uint64_t ends_ms;
+    uint32_t life; /* of the process, when it was told to end */
     uint32_t trouble;
     bool has_trouble;
 };
@@ -253,10 +254,13 @@
 }
 
 static void
-begin_signal(const struct soak_faults *faults, const struct fault *fault)
+begin_signal(const struct soak_faults *faults, struct fault *fault)
 {
     struct soak_process *process = process_of(faults, fault);
 
+    if (process != NULL) {
+        fault->life = soak_process_life(process);
+    }
     switch (fault->kind) {
     case FAULT_PAUSE_GATEWAY:
     case FAULT_PAUSE_WORKER:
@@ -358,6 +362,17 @@
     }
 }
 
+/* The process that the fault has told to end; another fault may have ended and
+   started it since. */
+static bool
+runs_on(const struct soak_faults *faults, const struct fault *fault)
+{
+    const struct soak_process *process = process_of(faults, fault);
+
+    return soak_process_is_running(process) &&
+           soak_process_life(process) == fault->life;
+}
+
 /* A process that was told to end has to, before it is started again. */
 static bool
 may_end(const struct soak_faults *faults, const struct fault *fault,
@@ -370,7 +385,7 @@
     return (fault->kind != FAULT_TERM_GATEWAY &&
             fault->kind != FAULT_KILL_GATEWAY &&
             fault->kind != FAULT_KILL_WORKER) ||
-           !soak_process_is_running(process_of(faults, fault));
+           !runs_on(faults, fault);
 }
 
 static void
@@ -381,7 +396,7 @@
                        soak_lag_ms(fault->begun_ms, now_ms);
 
     if (fault->kind != FAULT_TERM_GATEWAY || now_ms <= late_ms ||
-        !soak_process_is_running(process_of(faults, fault))) {
+        !runs_on(faults, fault)) {
         return;
     }
     if (soak_trouble_free(SOAK_GATEWAY, fault->index, fault->begun_ms,
