--- a/core/admission.h
+++ b/core/admission.h
@@ -21,7 +21,8 @@
 };
 
 struct admission_settings {
-    /* A removed key is in force everywhere by then, in ms. */
+    /* A key's removal is in force this long after the operators' word, on each
+       gateway, whatever it hears of the store. */
     uint32_t revoke_ms;
 };
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -382,12 +382,10 @@
 admit(struct forward *forward)
 {
     const struct forwards *forwards = forward->forwards;
-    const struct admission_settings settings = {
-        .revoke_ms = forwards->settings.revoke_ms};
     const char *why;
 
     switch (admission_check(
-        &settings, forward->catalog,
+        &forwards->settings.admission, forward->catalog,
         directory_age_ms(forwards->parts.directory, loop_boot_ms()),
         &forward->terms, forward->target, g_rand_double(forwards->random),
         &forward->admitted, &why)) {
@@ -585,14 +583,12 @@
 {
     const struct directory *directory = forwards->parts.directory;
     const struct catalog *catalog = directory_catalog(directory);
-    const struct admission_settings settings = {
-        .revoke_ms = forwards->settings.revoke_ms};
 
     if (catalog == NULL ||
         g_hash_table_size(endpoints_table(forwards->parts.endpoints)) == 0) {
         return false;
     }
     return !catalog_has_accounts(catalog) ||
-           admission_takes_keys(&settings,
+           admission_takes_keys(&forwards->settings.admission,
                                 directory_age_ms(directory, loop_boot_ms()));
 }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/admission.h"
+
 /* Requests on their way: finds each one's route, account and endpoint, sends
    it, passes the answer on, and sends it again or gives up where that fails.
    Loop thread only. */
@@ -22,9 +24,7 @@
     const char *data_centre;
     /* A request waits so long for the first configuration. */
     uint32_t park_ms;
-    /* Removed keys are in force this long after the operators' word, on each
-       gateway, whatever it hears of the store. */
-    uint32_t revoke_ms;
+    struct admission_settings admission;
     /* Sending requests again, over all gateways. */
     uint32_t budget_window_ms;
     double budget_ratio;
--- a/gateway/gateway_settings.c
+++ b/gateway/gateway_settings.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stddef.h>
+#include <string.h>
 
 #include "io/log.h"
 
@@ -48,24 +49,39 @@
     {"watch", INI_DURATION_MS, PLATFORM(watch_ms), "1s", 100, MINUTE_MS, NULL},
 };
 
-enum settings_result
-gateway_settings_start(int argc, char **argv,
-                       struct gateway_all_settings *settings, char **path)
+enum {
+    SECTIONS = 4
+};
+
+/* Where each section's values go. */
+static void
+fill_sections(struct settings_section sections[SECTIONS],
+              struct gateway_all_settings *settings, struct log_settings *log)
 {
-    struct log_settings log = {0};
-    const struct settings_section sections[] = {
+    const struct settings_section filled[SECTIONS] = {
         {"gateway", gateway_keys, G_N_ELEMENTS(gateway_keys),
          &settings->gateway},
         {"bounds", bounds_keys, G_N_ELEMENTS(bounds_keys), &settings->bounds},
         {"platform", platform_keys, G_N_ELEMENTS(platform_keys),
          &settings->platform},
-        {"log", log_settings_keys, log_settings_key_count, &log},
+        {"log", log_settings_keys, log_settings_key_count, log},
     };
-    enum settings_result result =
-        settings_start(argc, argv, "dandelionfork-gateway",
-                       "Forwards callers' requests to endpoints itself.",
-                       sections, G_N_ELEMENTS(sections), path);
 
+    memcpy(sections, filled, sizeof(filled));
+}
+
+enum settings_result
+gateway_settings_start(int argc, char **argv,
+                       struct gateway_all_settings *settings, char **path)
+{
+    struct log_settings log = {0};
+    struct settings_section sections[SECTIONS];
+    enum settings_result result;
+
+    fill_sections(sections, settings, &log);
+    result = settings_start(argc, argv, "dandelionfork-gateway",
+                            "Forwards callers' requests to endpoints itself.",
+                            sections, SECTIONS, path);
     if (result == SETTINGS_RUN) {
         log_configure((enum log_level)log.level, (enum log_format)log.format,
                       (enum log_output)log.output);
@@ -78,15 +94,11 @@
 {
     struct gateway_all_settings read = {0};
     struct log_settings log = {0};
-    const struct settings_section sections[] = {
-        {"gateway", gateway_keys, G_N_ELEMENTS(gateway_keys), &read.gateway},
-        {"bounds", bounds_keys, G_N_ELEMENTS(bounds_keys), &read.bounds},
-        {"platform", platform_keys, G_N_ELEMENTS(platform_keys),
-         &read.platform},
-        {"log", log_settings_keys, log_settings_key_count, &log},
-    };
-    bool ok = settings_read(path, sections, G_N_ELEMENTS(sections));
+    struct settings_section sections[SECTIONS];
+    bool ok;
 
+    fill_sections(sections, &read, &log);
+    ok = settings_read(path, sections, SECTIONS);
     if (ok) {
         *bounds = read.bounds;
     }
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -162,7 +162,7 @@
         .instance = gateway->settings.gateway.instance,
         .data_centre = gateway->settings.gateway.data_centre,
         .park_ms = (uint32_t)gateway->settings.gateway.park_ms,
-        .revoke_ms = (uint32_t)bounds->revoke_ms,
+        .admission.revoke_ms = (uint32_t)bounds->revoke_ms,
         .budget_window_ms = (uint32_t)bounds->budget_window_ms,
         .budget_ratio = (double)bounds->budget_ratio_millionths / INI_MILLION,
         .budget_extra = (double)bounds->budget_extra};
