A request with several Host headers is refused

Which of them counts would be anybody's guess, and the endpoint's might be another one than the route's.

--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -164,6 +164,10 @@
     caller->head_only = strcmp(head->method, "HEAD") == 0;
     g_byte_array_set_size(caller->body, 0);
     set_state(caller, CALLER_BODY);
+    if (http_head_count(head, "Host") > 1) {
+        refuse(caller, "HTTP/1.1 400 Bad Request\r\n");
+        return;
+    }
     if (head->length_bytes > callers->limits.body_bytes) {
         refuse(caller, "HTTP/1.1 413 Content Too Large\r\n");
         return;
--- a/io/http_message.c
+++ b/io/http_message.c
@@ -21,6 +21,17 @@
     return NULL;
 }
 
+size_t
+http_head_count(const struct http_head *head, const char *name)
+{
+    size_t count = 0;
+
+    for (size_t i = 0; i < head->header_count; i++) {
+        count += g_ascii_strcasecmp(head->headers[i].name, name) == 0;
+    }
+    return count;
+}
+
 static bool
 list_names(const char *list, const char *name)
 {
--- a/io/http_message.h
+++ b/io/http_message.h
@@ -29,6 +29,9 @@
    are compared without regard to case. */
 const char *http_head_value(const struct http_head *head, const char *name);
 
+/* How many headers have that name. */
+size_t http_head_count(const struct http_head *head, const char *name);
+
 /* Whether a header concerns one connection alone and is not passed on. */
 bool http_head_is_hop_by_hop(const struct http_head *head, const char *name);
 
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -321,6 +321,18 @@
     destroy_world(world);
 }
 
+/* Whose host counts would be anybody's guess, here and at the endpoint. */
+static void
+test_repeated_host(void)
+{
+    struct world *world = create_world();
+
+    say(world, "GET /a HTTP/1.1\r\nHost: a\r\nName: x\r\nhost: b\r\n\r\n");
+    run_until(world, "HTTP/1.1 400 ");
+    g_assert_cmpuint(world->requests, ==, 0);
+    destroy_world(world);
+}
+
 static void
 test_limits(void)
 {
@@ -385,6 +397,7 @@
     g_test_add_func("/callers/leaving", test_leaving_is_noticed);
     g_test_add_func("/callers/cut-stream",
                     test_cut_stream_does_not_look_whole);
+    g_test_add_func("/callers/repeated-host", test_repeated_host);
     g_test_add_func("/callers/limits", test_limits);
     g_test_add_func("/callers/bad-bytes", test_bad_bytes);
     g_test_add_func("/callers/two-lengths", test_two_lengths_are_refused);
