The first failure of the store is said too

Cause: a gateway counted the store as not answering from its start, and from when it left the store to others, so that only an answer was news: one that started in an outage, or stepped in during one, wrote no line about it. Test: gateway_store wants the line from a gateway that starts blind, which failed before.

--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -35,7 +35,8 @@
     struct store_follow_handlers handlers;
     void *data;
     bool reachable;
-    bool kept; /* the own entry; of its thread alone */
+    bool reachable_told; /* false: the next answer or failure is said */
+    bool kept;           /* the own entry; of its thread alone */
     _Atomic bool leaving;
     pthread_mutex_t mutex; /* of what follows */
     pthread_cond_t changed;
@@ -88,10 +89,11 @@
 {
     struct follow_news *news;
 
-    if (follow->reachable == reachable) {
+    if (follow->reachable_told && follow->reachable == reachable) {
         return;
     }
     follow->reachable = reachable;
+    follow->reachable_told = true;
     news = g_new0(struct follow_news, 1);
     news->follow = follow;
     news->reachable = reachable;
@@ -212,7 +214,7 @@
 {
     pthread_mutex_lock(&follow->mutex);
     while (!follow->turn.active) {
-        follow->reachable = false;
+        follow->reachable_told = false;
         pthread_cond_wait(&follow->changed, &follow->mutex);
     }
     /* 0: everything has to be read anyway. */
@@ -355,8 +357,6 @@
     follow->settings.member_value = g_strdup(settings->member_value);
     follow->handlers = *handlers;
     follow->data = data;
-    /* The first answer, or the first failure, is said. */
-    follow->reachable = false;
     pthread_mutex_init(&follow->mutex, NULL);
     pthread_cond_init(&follow->changed, NULL);
     follow->turn = (struct store_follow_turn){.active = true, .places = 1};
--- a/tests/faults/gateway_store.sh
+++ b/tests/faults/gateway_store.sh
@@ -76,7 +76,9 @@
         --settings "$WORK/gateway-2.ini"
     wait_until get -f "http://$IP:7522/metrics"
 }
+rm "$WORK/gateway-2.log"
 start_blind 1ms
+wait_log gateway-2 'the store does not answer'
 expect "nothing comes" "$(call "$GATEWAY2" /once/x -d y)" 503
 kill_hard gateway-2
 start_blind 60s
