--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -3,6 +3,7 @@
 # the named tests to fail. Without arguments all of them, else those named.
 set -eu
 cd "$(dirname "$0")/.."
+. tests/each_ablation.sh
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 cp -r CMakeLists.txt core io entry agent operator gateway platform bench tests "$copy"/
@@ -50,17 +51,6 @@
     mv "$saved" "$copy/$2"
 }
 
-while IFS= read -r line; do
-    case "$line" in '#'* | '') continue ;; esac
-    name=${line%% | *}
-    rest=${line#* | }
-    file=${rest%% | *}
-    rest=${rest#* | }
-    tests=${rest##* | }
-    substitution=${rest% | *}
-    if [ $# -eq 0 ] || [[ " $* " == *" $name "* ]]; then
-        try "$name" "$file" "$substitution" "$tests"
-    fi
-done <tests/ablations.txt
+each_ablation tests/ablations.txt "$@"
 echo "ablations: $passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/soak/ablate.sh
+++ b/tests/soak/ablate.sh
@@ -7,14 +7,19 @@
 SEEDS=${SEEDS:-20 21 213 220 223 224}
 SECONDS_EACH=${SECONDS_EACH:-40}
 failed=0
-number=0
+. tests/each_ablation.sh
 
-# soak_finds FOLDER PROMISE NUMBER
+# soak_finds FOLDER PROMISE NAME. Runs side by side, also of other names, have
+# addresses of their own.
 soak_finds() {
-    local seed pids=()
+    local seed number sum pids=()
+    sum=$(printf '%s' "$3" | cksum | cut -d' ' -f1)
+    number=$((sum / 100 % 20 * 10))
     for seed in $SEEDS; do
-        "$1/build/tests/soak" --bin "$1/build" --ip "127.9$((seed % 10)).$3.1" \
-            --seed "$seed" --seconds "$SECONDS_EACH" >"$1/$seed.out" 2>&1 &
+        number=$((number + 1))
+        "$1/build/tests/soak" --bin "$1/build" \
+            --ip "127.$((sum % 100 + 100)).$number.2" --seed "$seed" \
+            --seconds "$SECONDS_EACH" >"$1/$seed.out" 2>&1 &
         pids+=($!)
     done
     wait "${pids[@]}" || true
@@ -37,7 +42,7 @@
         echo "not ok $1: does not build"
         grep error "$copy/log" | head -n 3
         failed=$((failed + 1))
-    elif soak_finds "$copy" "$4" "$number"; then
+    elif soak_finds "$copy" "$4" "$1"; then
         echo "ok $1: $4 broken without it"
     else
         echo "not ok $1: $4 is not found to be broken"
@@ -47,17 +52,5 @@
     rm -rf "$copy"
 }
 
-while IFS= read -r line; do
-    case "$line" in '#'* | '') continue ;; esac
-    name=${line%% | *}
-    rest=${line#* | }
-    file=${rest%% | *}
-    rest=${rest#* | }
-    promise=${rest##* | }
-    substitution=${rest% | *}
-    number=$((number + 1))
-    if [ $# -eq 0 ] || [[ " $* " == *" $name "* ]]; then
-        try "$name" "$file" "$substitution" "$promise"
-    fi
-done <tests/soak/ablations.txt
+each_ablation tests/soak/ablations.txt "$@"
 [ "$failed" -eq 0 ]
--- a/tests/soak/soak_book.c
+++ b/tests/soak/soak_book.c
@@ -70,11 +70,12 @@
              const char *why)
 {
     soak_book_fail(promise,
-                   "%s (id=%s kind=%d gateway=%u status=%u end=%d runs=%u "
+                   "%s (id=%s kind=%d gateway=%u kept=%d status=%u end=%d "
+                   "runs=%u "
                    "sent=%lu ran=+%ld ended=+%ld)",
                    why, request->id, request->kind, request->gateway + 1,
-                   request->status, request->end, request->runs,
-                   (unsigned long)request->sent_ms,
+                   request->on_kept, request->status, request->end,
+                   request->runs, (unsigned long)request->sent_ms,
                    (long)(request->ran_ms - request->sent_ms),
                    (long)(request->ended_ms - request->sent_ms));
 }
@@ -126,30 +127,35 @@
 /* Answers. */
 
 static void
-check_body(const struct soak_request *request,
-           const struct soak_answer *answer)
+check_events(const struct soak_request *request, const GString *body)
 {
-    if (!answer->has_signature || strcmp(answer->id, request->id) != 0) {
-        fail_request("own", request, "not signed, or of another request");
-    }
-    if (request->events == 0) {
-        if (strstr(answer->body->str, request->id) == NULL) {
-            fail_request("own", request, "another request's body");
-        }
-        return;
-    }
     GString *wanted = g_string_new(NULL);
 
     for (uint32_t i = 1; i <= request->events; i++) {
         g_string_append_printf(wanted, "id: %u\ndata: event %u of %s\n\n", i,
                                i, request->id);
     }
-    if (!g_string_equal(wanted, answer->body)) {
+    if (!g_string_equal(wanted, body)) {
         fail_request("whole", request, "events are missing or too many");
     }
     g_string_free(wanted, TRUE);
 }
 
+static void
+check_body(const struct soak_request *request,
+           const struct soak_answer *answer)
+{
+    if (!answer->has_signature || strcmp(answer->id, request->id) != 0) {
+        fail_request("own", request, "not signed, or of another request");
+    }
+    if (request->events > 0) {
+        check_events(request, answer->body);
+    }
+    else if (strstr(answer->body->str, request->id) == NULL) {
+        fail_request("own", request, "another request's body");
+    }
+}
+
 /* Final refusals of what the configuration allows. */
 static void
 check_denied(const struct soak_request *request)
