--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -259,6 +259,7 @@
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, errors, "soak");
         arg_print_glossary(stderr, table, NULL);
+        arg_freetable(table, G_N_ELEMENTS(table));
         return EXIT_USAGE;
     }
     start_watch((uint64_t)seconds->ival[0]);
@@ -274,5 +275,7 @@
     else {
         printf("logs: %s\n", work);
     }
+    g_free(work);
+    arg_freetable(table, G_N_ELEMENTS(table));
     return status;
 }
