--- a/tests/soak/ablate.sh
+++ b/tests/soak/ablate.sh
@@ -4,7 +4,7 @@
 # arguments all of them, else those named.
 set -eu
 cd "$(dirname "$0")/../.."
-SEEDS=${SEEDS:-20 21 213 220 223 224}
+SEEDS=${SEEDS:-20 21 22 23 24 213 220 223}
 SECONDS_EACH=${SECONDS_EACH:-40}
 failed=0
 . tests/each_ablation.sh
