The follower's thread is woken only when its turn comes

Cause: the turn is told at each tick of 100 ms, and each telling woke the thread of a gateway that leaves the store to others, for nothing. It is woken when it becomes active. Found by reading; a gateway that follows has no waiting thread, so that nothing changes on sites of four.

Wake-ups were not measured again.

--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -370,8 +370,11 @@
                       const struct store_follow_turn *turn)
 {
     pthread_mutex_lock(&follow->mutex);
+    /* Told at each tick: the thread is woken only for what it waits for. */
+    if (turn->active && !follow->turn.active) {
+        pthread_cond_signal(&follow->changed);
+    }
     follow->turn = *turn;
-    pthread_cond_signal(&follow->changed);
     pthread_mutex_unlock(&follow->mutex);
 }
 
