Tests: an address of its own for each test run

Cause: a fault test's address came from a hash of its build folder, one of 200 values, and the soak's from its seed, in the same range. Several checkouts tested at once soon share one, and their tests of one name then use one address and the same ports: the listed failure of faults_group ("Address already in use" at an agent's first start).

Ruled out: ephemeral ports (all listeners are below their range), sockets without SO_REUSEADDR, a stray agent of the same run.

--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -5,7 +5,8 @@
 # and never for a fixed time.
 
 set -eu
-IP=${IP:-127.0.0.1}
+. "$(dirname "${BASH_SOURCE[0]}")/address.sh"
+take_address "${IP:-127.50.0.1}"
 WORK=$(mktemp -d)
 declare -A PIDS
 declare -A PORTS
--- a/tests/soak/ablate.sh
+++ b/tests/soak/ablate.sh
@@ -10,17 +10,16 @@
 failed=0
 . tests/each_ablation.sh
 
-# soak_reports FOLDER GUARANTEE NAME: whether a run reports it as broken. The
-# addresses of a run depend on its name and seed, so that runs with other names
-# or seeds can run at the same time.
+# soak_reports FOLDER GUARANTEE NAME: whether a run reports it as broken.
 soak_reports() {
     local seed address_part hash pids=()
     hash=$(printf '%s' "$3" | cksum | cut -d' ' -f1)
     address_part=$((hash / 100 % 20 * 10))
     for seed in $SEEDS; do
         address_part=$((address_part + 1))
-        "$1/build/tests/soak" --bin "$1/build" \
-            --ip "127.$((hash % 100 + 100)).$address_part.2" --seed "$seed" \
+        bash tests/with_address.sh \
+            "127.$((hash % 100 + 100)).$address_part.1" \
+            "$1/build/tests/soak" --bin "$1/build" --seed "$seed" \
             --seconds "$SECONDS_EACH" >"$1/$seed.out" 2>&1 &
         pids+=($!)
     done
--- a/tests/soak/run.sh
+++ b/tests/soak/run.sh
@@ -16,8 +16,9 @@
 # run_seed SEED
 run_seed() {
     local status=0
-    "$build/tests/soak" --bin "$build" --seed "$1" --seconds "$seconds" \
-        --ip "127.$((100 + $1 / 250 % 100)).$(($1 % 250 + 1)).1" \
+    bash tests/with_address.sh \
+        "127.$((100 + $1 / 250 % 100)).$(($1 % 250 + 1)).1" \
+        "$build/tests/soak" --bin "$build" --seed "$1" --seconds "$seconds" \
         >"$out/$1" 2>&1 || status=$?
     grep -E '^(not ok|requests=|seed=|logs:)' "$out/$1" || cat "$out/$1"
     return "$status"
