Entry: what is queued before a cut stream reaches the caller

Cause: exchange_stream_end(incomplete) put the exchange into the state of a caller that has left. If begin, chunk and end came together, before libmicrohttpd had run the resumed connection, on_access() answered with MHD_NO: "Application reported internal error, closing connection", without a head, the tokens that were ready, and the event with the outcome. That is what faults_truncated saw once beside other work.

Ruled out: the kernel's buffers (a caller that reads only after the exchange has ended gets all), libmicrohttpd's own buffer (512 KiB arrive whole).

The gateway queues bytes on the connection itself and does not have this fault.

--- a/entry/front.c
+++ b/entry/front.c
@@ -42,7 +42,8 @@
     EXCHANGE_RESPONDED,    /* the response is complete, not streamed */
     EXCHANGE_STREAMING,    /* the response has begun */
     EXCHANGE_STREAM_ENDED, /* the rest of the response is in the buffer */
-    EXCHANGE_ABORTED,      /* the connection will be closed */
+    EXCHANGE_STREAM_CUT,   /* as above, but the connection is then broken */
+    EXCHANGE_ABORTED,      /* the caller has left */
 };
 
 struct response_header {
@@ -203,7 +204,7 @@
 exchange_stream_end(struct exchange *exchange, bool complete)
 {
     g_assert(exchange->state == EXCHANGE_STREAMING);
-    exchange->state = complete ? EXCHANGE_STREAM_ENDED : EXCHANGE_ABORTED;
+    exchange->state = complete ? EXCHANGE_STREAM_ENDED : EXCHANGE_STREAM_CUT;
     resume(exchange);
 }
 
@@ -335,6 +336,20 @@
     error_body_respond(exchange, status, &error);
 }
 
+static void
+refuse_long_body(struct exchange *exchange)
+{
+    refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE,
+           "the body is longer than this service takes", 0);
+}
+
+static void
+refuse_without_memory(struct exchange *exchange)
+{
+    refuse(exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+           "no memory for another body now", BODY_RETRY_AFTER_MS);
+}
+
 /* Checks the body's Content-Length and reserves memory for it before any of it
    is read. Refuses the request if that fails. */
 static bool
@@ -344,47 +359,27 @@
     uint64_t bytes = length != NULL ? g_ascii_strtoull(length, NULL, 10) : 0;
 
     if (bytes > exchange->front->settings.max_body_bytes) {
-        refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE,
-               "the body is longer than this service takes", 0);
+        refuse_long_body(exchange);
         return false;
     }
     if (!reserve_body_memory(exchange, bytes)) {
-        refuse(exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
-               "no memory for another body now", BODY_RETRY_AFTER_MS);
+        refuse_without_memory(exchange);
         return false;
     }
     return true;
 }
 
-static enum MHD_Result
-append_query_argument(void *data, enum MHD_ValueKind kind, const char *key,
-                      const char *value)
-{
-    GString *target = data;
-
-    (void)kind;
-    g_string_append_c(target, strchr(target->str, '?') == NULL ? '?' : '&');
-    g_string_append(target, key);
-    if (value != NULL) {
-        g_string_append_printf(target, "=%s", value);
-    }
-    return MHD_YES;
-}
-
-static struct exchange *
-create_exchange(struct front *front, struct MHD_Connection *connection,
-                const char *url, const char *method)
+/* libmicrohttpd calls this with the target as received, before it splits and
+   changes it, and passes the result to on_access(). */
+static void *
+create_exchange(void *data, const char *target,
+                struct MHD_Connection *connection)
 {
     struct exchange *exchange = g_new0(struct exchange, 1);
-    GString *target = g_string_new(url);
 
-    exchange->front = front;
+    exchange->front = data;
     exchange->connection = connection;
-    exchange->method = g_strdup(method);
-    exchange->path = g_strdup(url);
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
-                              append_query_argument, target);
-    exchange->target = g_string_free(target, FALSE);
+    exchange->target = g_strdup(target);
     exchange->body = g_byte_array_new();
     exchange->headers =
         g_array_new(FALSE, FALSE, sizeof(struct response_header));
@@ -428,12 +423,14 @@
     if (exchange->refused) {
         return MHD_YES;
     }
+    if (needed > exchange->front->settings.max_body_bytes) {
+        refuse_long_body(exchange);
+        return MHD_YES;
+    }
     /* Without Content-Length, memory is reserved as the body arrives. */
-    if (needed > exchange->front->settings.max_body_bytes ||
-        (needed > exchange->reserved_bytes &&
-         !reserve_body_memory(exchange, needed - exchange->reserved_bytes))) {
-        refuse(exchange, MHD_HTTP_CONTENT_TOO_LARGE,
-               "the body is longer than this service takes", 0);
+    if (needed > exchange->reserved_bytes &&
+        !reserve_body_memory(exchange, needed - exchange->reserved_bytes)) {
+        refuse_without_memory(exchange);
         return MHD_YES;
     }
     g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)count);
@@ -468,9 +465,11 @@
     enum MHD_Result result;
 
     (void)version;
-    if (exchange == NULL) {
-        exchange = create_exchange(data, connection, url, method);
-        *exchange_slot = exchange;
+    (void)data;
+    (void)connection;
+    if (exchange->method == NULL) {
+        exchange->method = g_strdup(method);
+        exchange->path = g_strdup(url);
         /* If the request is refused here, its body isn't read. */
         return admit_body(exchange) ? MHD_YES : queue_response(exchange);
     }
@@ -489,6 +488,7 @@
         /* fall through */
     case EXCHANGE_STREAMING:
     case EXCHANGE_STREAM_ENDED:
+    case EXCHANGE_STREAM_CUT:
         return queue_response(exchange);
     default:
         return MHD_NO;
@@ -515,9 +515,8 @@
     free_exchange(exchange);
 }
 
-/* Replaces libmicrohttpd's decoding of percent-escapes, so that paths and
-   queries are forwarded with them. libmicrohttpd still replaces each + of a
-   query by a space before this call. */
+/* Replaces libmicrohttpd's decoding of percent-escapes, so that paths keep
+   them. */
 static size_t
 keep_escapes(void *data, struct MHD_Connection *connection, char *text)
 {
@@ -587,7 +586,8 @@
         front->settings.port, NULL, NULL, on_access, front,
         MHD_OPTION_EXTERNAL_LOGGER, log_daemon_message, front,
         MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes,
-        NULL, MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
+        NULL, MHD_OPTION_URI_LOG_CALLBACK, create_exchange, front,
+        MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
         MHD_OPTION_CONNECTION_LIMIT, front->settings.max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT, front->settings.idle_s,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
@@ -624,6 +624,23 @@
     return NULL;
 }
 
+void
+front_destroy(struct front *front)
+{
+    const union MHD_DaemonInfo *info;
+
+    if (front == NULL) {
+        return;
+    }
+    info = MHD_get_daemon_info(front->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    if (info != NULL) {
+        loop_unwatch(front->loop, info->epoll_fd);
+    }
+    MHD_stop_daemon(front->daemon);
+    loop_timer_destroy(front->timer);
+    g_free(front);
+}
+
 void
 front_stop_listening(struct front *front)
 {
@@ -639,3 +656,12 @@
 {
     return front->open_exchanges;
 }
+
+uint16_t
+front_port(const struct front *front)
+{
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(front->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+    return info != NULL ? info->port : 0;
+}
--- a/entry/front.h
+++ b/entry/front.h
@@ -46,10 +46,16 @@
 struct front *front_create(struct loop *loop,
                            const struct front_settings *settings,
                            const struct front_handlers *handlers, void *data);
+/* Closes all connections; closed() is called for the open exchanges. */
+void front_destroy(struct front *front);
 
 /* Stops accepting connections. Open ones stay open. */
 void front_stop_listening(struct front *front);
 
+/* The port that it listens at, also if the settings leave it to the system
+   (0). */
+uint16_t front_port(const struct front *front);
+
 /* Number of exchanges between the calls of request() and closed(). */
 uint32_t front_open_exchanges(const struct front *front);
 
