Gateway: numbers of the platform may have a fraction

In JSON any number but an integer counted as missing: a route's timeout of 4000.0 as none at all, shares of 0.25 and 0.75 as none, slots of 6.0 as no endpoint; one integer above 64 bits made a whole configuration invalid. In headers 1e4 counted as 1 and -5 as 49 days.

Now one rule for settings, JSON and headers (docs/design/platform.md): limits are rounded down, above the range they are the largest value, names must be whole, what can't hold is an error.

--- a/core/catalog.h
+++ b/core/catalog.h
@@ -31,7 +31,7 @@
 /* A service's share of a route's requests, in proportion to its weight. */
 struct catalog_share {
     char *service;
-    uint32_t weight;
+    double weight;
 };
 
 struct catalog_route {
--- a/core/ini.c
+++ b/core/ini.c
@@ -10,6 +10,13 @@
     MAX_FRACTION = 1000000000,
 };
 
+/* Largest duration: every integer up to it is exact as a double. */
+#define MAX_DURATION_MS (UINT64_C(1) << 53)
+
+/* Above the error of a decimal fraction as a double, for numbers whose
+   fraction matters. */
+static const double DECIMAL_ERROR = 1e-6;
+
 struct ini {
     char *file;
     GKeyFile *keys;
@@ -188,10 +195,40 @@
     return false;
 }
 
+/* Parses a decimal number that may have a fraction and an exponent. */
+static bool
+parse_decimal(const char *text, char **end, double *out)
+{
+    if (!g_ascii_isdigit(text[0]) || text[1] == 'x' || text[1] == 'X') {
+        return false;
+    }
+    *out = g_ascii_strtod(text, end);
+    return true;
+}
+
 bool
 ini_parse_duration_ms(const char *text, uint64_t *out_ms)
 {
-    return parse_number(text, duration_units, out_ms);
+    const struct unit *unit = duration_units;
+    double number;
+    double duration_ms;
+    char *end;
+
+    if (!parse_decimal(text, &end, &number)) {
+        return false;
+    }
+    while (*end == ' ') {
+        end++;
+    }
+    while (unit->name != NULL && strcmp(end, unit->name) != 0) {
+        unit++;
+    }
+    duration_ms = number * (double)unit->factor + DECIMAL_ERROR;
+    if (unit->name == NULL || duration_ms >= (double)MAX_DURATION_MS) {
+        return false;
+    }
+    *out_ms = (uint64_t)duration_ms;
+    return true;
 }
 
 bool
@@ -277,9 +314,10 @@
 parse_fraction(const char *text, uint64_t *out)
 {
     char *end;
-    double number = g_ascii_strtod(text, &end);
+    double number;
 
-    if (!g_ascii_isdigit(text[0]) || *end != '\0' || number > MAX_FRACTION) {
+    if (!parse_decimal(text, &end, &number) || *end != '\0' ||
+        number > MAX_FRACTION) {
         return false;
     }
     *out = (uint64_t)(number * INI_FRACTION_ONE + 0.5);
@@ -292,7 +330,7 @@
 {
     switch (key->kind) {
     case INI_DURATION_MS:
-        return parse_number(text, duration_units, out)
+        return ini_parse_duration_ms(text, out)
                    ? NULL
                    : "needs a number with a unit: ms, s, min or h";
     case INI_BYTES:
--- a/core/ini.h
+++ b/core/ini.h
@@ -18,7 +18,8 @@
     INI_LIST,        /* char **, NULL-terminated; written with ';' between */
     INI_ADDRESS,     /* struct ini_address: IPv4 address ':' port */
     INI_ADDRESSES,   /* char **: an INI_LIST of addresses */
-    INI_DURATION_MS, /* uint64_t: a number with the unit ms, s, min or h */
+    INI_DURATION_MS, /* uint64_t: a decimal number with the unit ms, s, min or
+                        h; parts of a millisecond are dropped */
     INI_BYTES,       /* uint64_t: a number with the unit B, KiB, MiB or GiB */
     INI_COUNT,       /* uint64_t: a number without a unit */
     INI_PERCENT,     /* uint64_t: a number with % */
@@ -78,8 +79,8 @@
    valid. Free out->ip with g_free(). */
 bool ini_parse_address(const char *text, struct ini_address *out);
 
-/* Parses a number with the unit ms, s, min or h. Returns false if the text is
-   not valid. */
+/* Parses a decimal number with the unit ms, s, min or h; parts of a
+   millisecond are dropped. Returns false if the text is not valid. */
 bool ini_parse_duration_ms(const char *text, uint64_t *out_ms);
 
 #endif
--- a/gateway/gateway_settings.c
+++ b/gateway/gateway_settings.c
@@ -13,6 +13,8 @@
 enum {
     SECOND_MS = 1000,
     MINUTE_MS = 60 * SECOND_MS,
+    DAY_MS = 24 * 60 * MINUTE_MS,
+    MAX_FACTOR = 1000,
     MAX_COUNT = 1000000,
 };
 
@@ -26,7 +28,7 @@
     {"seeds", INI_ADDRESSES, GATEWAY(seeds), "", 0, 0, NULL},
     {"load", INI_DURATION_MS, GATEWAY(min_load_interval_ms), "5ms", 1,
      SECOND_MS, NULL},
-    {"grace", INI_DURATION_MS, GATEWAY(grace_ms), "8s", SECOND_MS, MINUTE_MS,
+    {"grace", INI_DURATION_MS, GATEWAY(grace_ms), "8s", SECOND_MS, DAY_MS,
      NULL},
     {"close", INI_DURATION_MS, GATEWAY(close_ms), "3s", 0, MINUTE_MS, NULL},
     {"park", INI_DURATION_MS, GATEWAY(config_wait_ms), "300ms", 0, MINUTE_MS,
@@ -34,14 +36,13 @@
 };
 
 static const struct ini_key bounds_keys[] = {
-    {"revoke", INI_DURATION_MS, BOUND(revoke_ms), "5s", SECOND_MS, MINUTE_MS,
-     NULL},
+    {"revoke", INI_DURATION_MS, BOUND(revoke_ms), "5s", 0, DAY_MS, NULL},
     {"budget_ratio", INI_FRACTION, BOUND(budget_ratio_millionths), "0.2", 0,
-     INI_FRACTION_ONE, NULL},
-    {"budget_window", INI_DURATION_MS, BOUND(budget_window_ms), "10s",
-     SECOND_MS, MINUTE_MS, NULL},
-    {"budget_extra", INI_COUNT, BOUND(budget_extra), "100", 0, MAX_COUNT,
-     NULL},
+     MAX_FACTOR *(uint64_t)INI_FRACTION_ONE, NULL},
+    {"budget_window", INI_DURATION_MS, BOUND(budget_window_ms), "10s", 1,
+     DAY_MS, NULL},
+    {"budget_extra", INI_FRACTION, BOUND(budget_extra_millionths), "100", 0,
+     MAX_COUNT *(uint64_t)INI_FRACTION_ONE, NULL},
 };
 
 static const struct ini_key platform_keys[] = {
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -37,7 +37,7 @@
     /* Retry budget, see struct forwarder_settings. */
     uint64_t budget_ratio_millionths;
     uint64_t budget_window_ms;
-    uint64_t budget_extra;
+    uint64_t budget_extra_millionths;
 };
 
 struct gateway_platform_settings {
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -170,7 +170,8 @@
         .budget_window_ms = (uint32_t)bounds->budget_window_ms,
         .budget_ratio =
             (double)bounds->budget_ratio_millionths / INI_FRACTION_ONE,
-        .budget_extra = (double)bounds->budget_extra};
+        .budget_extra =
+            (double)bounds->budget_extra_millionths / INI_FRACTION_ONE};
 }
 
 static void
@@ -366,13 +367,22 @@
     g_free(value);
 }
 
+/* Time between the signal and closing the listening socket. Half of the grace
+   is left to the requests that are in progress then. */
+static uint64_t
+close_delay_ms(const struct gateway *gateway)
+{
+    const struct gateway_settings *settings = &gateway->settings.gateway;
+
+    return MIN(settings->close_ms, settings->grace_ms / 2);
+}
+
 static bool
 initialise(struct gateway *gateway)
 {
     static const struct directory_handlers handlers = {on_catalog,
                                                        on_gateways};
-    const struct process_drain drain = {.grace_ms =
-                                            gateway->settings.gateway.close_ms,
+    const struct process_drain drain = {.grace_ms = close_delay_ms(gateway),
                                         .begin = begin_drain,
                                         .close = close_drain,
                                         .idle = is_drained};
--- a/gateway/upstreams.c
+++ b/gateway/upstreams.c
@@ -14,6 +14,7 @@
     CONNECT_TIMEOUT_MS = 250,
     /* For endpoints that don't say how long they keep idle connections. */
     DEFAULT_IDLE_TIMEOUT_MS = 1000,
+    MAX_IDLE_TIMEOUT_S = 3600,
     /* Subtracted from the endpoint's idle timeout, since its close may already
        be on the way. */
     IDLE_MARGIN_MS = 500,
@@ -366,7 +367,7 @@
 upstream_set_idle_timeout_s(struct upstream *upstream, uint32_t idle_s)
 {
     if (idle_s > 0) {
-        upstream->idle_timeout_ms = idle_s * MS_PER_S;
+        upstream->idle_timeout_ms = MIN(idle_s, MAX_IDLE_TIMEOUT_S) * MS_PER_S;
     }
 }
 
--- /dev/null
+++ b/tests/unit/test_numbers.c
@@ -0,0 +1,353 @@
+/* Tests how numbers of the platform are read, in settings, in JSON and in
+   headers: integers, fractions, exponents, zero, very large ones, and texts
+   that are no number. */
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "core/call_metadata.h"
+#include "core/catalog.h"
+#include "core/endpoints.h"
+#include "core/ini.h"
+#include "gateway/gateway_settings.h"
+#include "io/http_message.h"
+#include "io/settings.h"
+#include "io/store_items.h"
+#include "platform/platform_config.h"
+#include "platform/platform_endpoint.h"
+#include "platform/platform_http.h"
+
+/* Durations of settings. */
+
+struct duration_case {
+    const char *text;
+    bool valid;
+    uint64_t ms;
+};
+
+static void
+test_durations(void)
+{
+    static const struct duration_case cases[] = {
+        {"5s", true, 5000},
+        {"0ms", true, 0},
+        {"2.5s", true, 2500},
+        {"1.001s", true, 1001},
+        {"0.3s", true, 300},
+        {"4000.9ms", true, 4000},
+        {"5e3ms", true, 5000},
+        {"1.5 min", true, 90000},
+        {"1e12ms", true, UINT64_C(1000000000000)},
+        {"1e30ms", false, 0},
+        {"1e400s", false, 0},
+        {"0x10ms", false, 0},
+        {"-1ms", false, 0},
+        {"nanms", false, 0},
+        {"ms", false, 0},
+        {"5", false, 0},
+        {"5.s.", false, 0},
+        {"", false, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        uint64_t ms = 0;
+
+        g_test_message("duration \"%s\"", cases[i].text);
+        g_assert_cmpint(ini_parse_duration_ms(cases[i].text, &ms), ==,
+                        cases[i].valid);
+        g_assert_cmpuint(ms, ==, cases[i].ms);
+    }
+}
+
+/* The gateway's settings, with one line of [bounds]. */
+
+static bool
+read_bounds(const char *line, struct gateway_bounds *bounds)
+{
+    char *path = NULL;
+    GError *error = NULL;
+    int fd = g_file_open_tmp("bounds-XXXXXX", &path, &error);
+    char *text = g_strdup_printf(
+        "[gateway]\ninstance = a\ndata_centre = b\nlisten = 127.0.0.1:1\n"
+        "status = 127.0.0.1:2\nmetrics = 127.0.0.1:3\npeers = 127.0.0.1:4\n"
+        "[bounds]\n%s\n[platform]\nstore = 127.0.0.1:5\n",
+        line);
+    bool ok;
+
+    g_assert_no_error(error);
+    g_close(fd, NULL);
+    g_assert_true(g_file_set_contents(path, text, -1, NULL));
+    ok = gateway_settings_reread(path, bounds);
+    g_remove(path);
+    g_free(path);
+    g_free(text);
+    return ok;
+}
+
+static void
+test_bounds(void)
+{
+    struct gateway_bounds bounds;
+
+    g_assert_true(read_bounds("budget_extra = 40.588235294117645", &bounds));
+    g_assert_cmpuint(bounds.budget_extra_millionths, ==, 40588235);
+    g_assert_true(read_bounds("budget_extra = 0", &bounds));
+    g_assert_cmpuint(bounds.budget_extra_millionths, ==, 0);
+    g_assert_true(read_bounds("budget_extra = 1e+02", &bounds));
+    g_assert_cmpuint(bounds.budget_extra_millionths, ==, 100000000);
+    g_assert_true(read_bounds("budget_ratio = 1.5", &bounds));
+    g_assert_cmpuint(bounds.budget_ratio_millionths, ==, 1500000);
+    g_assert_true(read_bounds("budget_window = 7.25s", &bounds));
+    g_assert_cmpuint(bounds.budget_window_ms, ==, 7250);
+    g_assert_true(read_bounds("revoke = 4999.7ms", &bounds));
+    g_assert_cmpuint(bounds.revoke_ms, ==, 4999);
+    g_assert_true(read_bounds("revoke = 7200000ms", &bounds));
+    g_assert_cmpuint(bounds.revoke_ms, ==, 7200000);
+    g_assert_true(read_bounds("revoke = 0ms", &bounds));
+    g_assert_cmpuint(bounds.revoke_ms, ==, 0);
+    /* What can't hold is an error. */
+    g_assert_false(read_bounds("revoke = -1ms", &bounds));
+    g_assert_false(read_bounds("revoke = ms", &bounds));
+    g_assert_false(read_bounds("budget_window = 0s", &bounds));
+    g_assert_false(read_bounds("budget_extra = many", &bounds));
+}
+
+/* Numbers in JSON. */
+
+static struct catalog *
+decode_config(const char *route_fields, const char *version, const char **why)
+{
+    char *text = g_strdup_printf(
+        "{\"version\":%s,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"prefix\":\"/\",\"kind\":\"safe\",\"service\":\"s\"%s}],"
+        "\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}],\"limits\":{}}",
+        version, route_fields);
+    struct catalog *catalog =
+        platform_config_decode((const uint8_t *)text, strlen(text), why);
+
+    g_free(text);
+    return catalog;
+}
+
+static uint32_t
+decode_time_limit_ms(const char *number)
+{
+    char *field = g_strdup_printf(",\"timeout_ms\":%s", number);
+    const char *why = NULL;
+    struct catalog *catalog = decode_config(field, "3", &why);
+    uint32_t time_limit_ms;
+
+    g_assert_nonnull(catalog);
+    time_limit_ms = catalog_find_route(catalog, "h", "/")->time_limit_ms;
+    catalog_unref(catalog);
+    g_free(field);
+    return time_limit_ms;
+}
+
+static void
+test_config_limits(void)
+{
+    const uint32_t default_ms = 600000;
+
+    g_assert_cmpuint(decode_time_limit_ms("4000"), ==, 4000);
+    g_assert_cmpuint(decode_time_limit_ms("4000.0"), ==, 4000);
+    g_assert_cmpuint(decode_time_limit_ms("4000.9"), ==, 4000);
+    g_assert_cmpuint(decode_time_limit_ms("4e3"), ==, 4000);
+    g_assert_cmpuint(decode_time_limit_ms("0"), ==, 0);
+    g_assert_cmpuint(decode_time_limit_ms("1e30"), ==, UINT32_MAX);
+    g_assert_cmpuint(decode_time_limit_ms("99999999999999999999999"), ==,
+                     UINT32_MAX);
+    g_assert_cmpuint(decode_time_limit_ms("-5"), ==, default_ms);
+    g_assert_cmpuint(decode_time_limit_ms("\"4000\""), ==, default_ms);
+    g_assert_cmpuint(decode_time_limit_ms("null"), ==, default_ms);
+}
+
+static void
+test_config_version(void)
+{
+    static const char *const wrong[] = {"0",    "-3",    "3.5",
+                                        "1e30", "\"3\"", "null"};
+    const char *why = NULL;
+    struct catalog *catalog = decode_config("", "12.0", &why);
+
+    g_assert_nonnull(catalog);
+    g_assert_cmpuint(catalog_version(catalog), ==, 12);
+    catalog_unref(catalog);
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
+        why = NULL;
+        g_assert_null(decode_config("", wrong[i], &why));
+        g_assert_nonnull(why);
+    }
+}
+
+/* Shares below 1 split a route's requests as larger ones do. */
+static void
+test_config_shares(void)
+{
+    const char *why = NULL;
+    struct catalog *catalog = decode_config(
+        ",\"traffic_split\":[{\"service\":\"s\",\"weight\":0.25},"
+        "{\"service\":\"t\",\"weight\":0.75}]",
+        "3", &why);
+    const struct catalog_route *route;
+
+    g_assert_nonnull(catalog);
+    route = catalog_find_route(catalog, "h", "/");
+    g_assert_cmpstr(catalog_pick_service(catalog, route, 0.2)->name, ==, "s");
+    g_assert_cmpstr(catalog_pick_service(catalog, route, 0.3)->name, ==, "t");
+    catalog_unref(catalog);
+}
+
+static uint32_t
+decode_slots(const char *number)
+{
+    struct endpoints *endpoints = endpoints_create();
+    struct store_items *items = store_items_create();
+    char *text = g_strdup_printf(
+        "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"slots\":%s}",
+        number);
+    struct endpoint *endpoint;
+    bool changed;
+    uint32_t slots;
+
+    store_items_add(items, "servers/a", (const uint8_t *)text, strlen(text),
+                    1);
+    platform_endpoint_apply(endpoints, g_ptr_array_index(items->list, 0),
+                            &changed);
+    endpoint = endpoints_find(endpoints, "a");
+    slots = endpoint != NULL ? endpoint->slots : 0;
+    store_items_destroy(items);
+    endpoints_destroy(endpoints);
+    g_free(text);
+    return slots;
+}
+
+static void
+test_endpoint_slots(void)
+{
+    g_assert_cmpuint(decode_slots("6"), ==, 6);
+    g_assert_cmpuint(decode_slots("6.0"), ==, 6);
+    g_assert_cmpuint(decode_slots("6.9"), ==, 6);
+    g_assert_cmpuint(decode_slots("1e1"), ==, 10);
+    g_assert_cmpuint(decode_slots("99999999999999999999999"), ==, UINT32_MAX);
+    /* It can't run anything, or says nothing that can be read. */
+    g_assert_cmpuint(decode_slots("0"), ==, 0);
+    g_assert_cmpuint(decode_slots("0.5"), ==, 0);
+    g_assert_cmpuint(decode_slots("-6"), ==, 0);
+    g_assert_cmpuint(decode_slots("\"6\""), ==, 0);
+}
+
+/* Headers. */
+
+/* Free the result with platform_http_request_clear(). */
+static void
+decode_header(const char *name, const char *value,
+              struct request_metadata *request)
+{
+    const struct http_header header = {name, value};
+    const struct http_head head = {
+        .method = "GET", .target = "/", .headers = &header, .header_count = 1};
+
+    platform_http_decode_request(&head, request);
+}
+
+struct time_left_case {
+    const char *text;
+    bool valid;
+    uint32_t ms;
+};
+
+static void
+test_time_left(void)
+{
+    static const struct time_left_case cases[] = {
+        {"1500", true, 1500},
+        {"1500.9", true, 1500},
+        {"1e4", true, 10000},
+        {"0", true, 0},
+        {"1e30", true, UINT32_MAX},
+        {"99999999999999999999", true, UINT32_MAX},
+        {"-5", false, 0},
+        {"soon", false, 0},
+        {"0x10", false, 0},
+        {"15 s", false, 0},
+        {"", false, 0},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct request_metadata request;
+
+        g_test_message("time left \"%s\"", cases[i].text);
+        decode_header("Deadline-Ms", cases[i].text, &request);
+        g_assert_cmpint(request.has_time_left, ==, cases[i].valid);
+        g_assert_cmpuint(request.time_left_ms, ==, cases[i].ms);
+        platform_http_request_clear(&request);
+    }
+}
+
+static void
+expect_usage(const char *text, uint64_t prompt_tokens, uint64_t output_tokens)
+{
+    struct request_metadata request;
+
+    decode_header("Token-Usage", text, &request);
+    g_assert_cmpuint(request.prompt_tokens, ==, prompt_tokens);
+    g_assert_cmpuint(request.max_output_tokens, ==, output_tokens);
+    platform_http_request_clear(&request);
+}
+
+static void
+test_usage(void)
+{
+    expect_usage("1460,80", 1460, 80);
+    expect_usage("1460", 1460, 0);
+    expect_usage("1459.2,79.5", 1460, 80);
+    expect_usage("1.5e6,1e2", 1500000, 100);
+    expect_usage("1e30,1e30", UINT32_MAX, UINT32_MAX);
+    expect_usage("-1,-1", 0, 0);
+    expect_usage("many,some", 0, 0);
+    expect_usage("", 0, 0);
+}
+
+static uint32_t
+decode_keep_alive_s(const char *text)
+{
+    const struct http_header header = {"Keep-Alive", text};
+    const struct http_head head = {
+        .status = 200, .headers = &header, .header_count = 1};
+    struct response_metadata response;
+
+    platform_http_decode_response(&head, NULL, &response);
+    return response.keep_alive_s;
+}
+
+static void
+test_keep_alive(void)
+{
+    g_assert_cmpuint(decode_keep_alive_s("timeout=5"), ==, 5);
+    g_assert_cmpuint(decode_keep_alive_s("timeout=5, max=100"), ==, 5);
+    g_assert_cmpuint(decode_keep_alive_s("5"), ==, 5);
+    g_assert_cmpuint(decode_keep_alive_s("timeout=5.9"), ==, 5);
+    g_assert_cmpuint(decode_keep_alive_s("timeout=4294967297"), ==,
+                     UINT32_MAX);
+    g_assert_cmpuint(decode_keep_alive_s("timeout=-1"), ==, 0);
+    g_assert_cmpuint(decode_keep_alive_s("timeout=soon"), ==, 0);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/numbers/durations", test_durations);
+    g_test_add_func("/numbers/bounds", test_bounds);
+    g_test_add_func("/numbers/config-limits", test_config_limits);
+    g_test_add_func("/numbers/config-version", test_config_version);
+    g_test_add_func("/numbers/config-shares", test_config_shares);
+    g_test_add_func("/numbers/endpoint-slots", test_endpoint_slots);
+    g_test_add_func("/numbers/time-left", test_time_left);
+    g_test_add_func("/numbers/usage", test_usage);
+    g_test_add_func("/numbers/keep-alive", test_keep_alive);
+    return g_test_run();
+}
