--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 #              run measurements; see docs/BENCHMARKS.md and docs/CAPACITY.md.
 
 PACKAGES = gcc cmake ninja-build pkg-config clang-format clang-tidy curl \
-	libglib2.0-dev libmicrohttpd-dev libneon27-dev libmsgpack-dev \
+	libglib2.0-dev libmicrohttpd-dev libmsgpack-dev \
 	liburcu-dev libargtable2-dev libjansson-dev libxxhash-dev \
 	libhttp-parser-dev
 JOBS ?= $(shell nproc)
--- a/agent/endpoint_calls.c
+++ b/agent/endpoint_calls.c
@@ -27,7 +27,7 @@
     UNREPEATABLE_WINDOW_BYTES = 8 * 1024 * 1024,
     CONNECT_TIMEOUT_S = 2,
     MS_PER_S = 1000,
-    STOP_READ_TIMEOUT_S = 2,
+    STOP_TIMEOUT_S = 2,
     MAX_STOP_RESPONSE_BYTES = 256 * 1024,
     MAX_STOP_ATTEMPTS = 50,
     STOP_INTERVAL_US = 100 * 1000,
@@ -61,7 +61,7 @@
     bool stops_by_id; /* the engine can stop it by its id */
     bool repeatable;
     uint64_t priority;
-    uint32_t read_timeout_s;
+    uint32_t timeout_s;
     const char *method;
     const char *path;
     const char *content_type;
@@ -309,8 +309,8 @@
     bool ok;
 
     snprintf(priority, sizeof(priority), "%" PRIu64, call->priority);
-    http_session_set_timeouts(session, CONNECT_TIMEOUT_S,
-                              call->read_timeout_s);
+    http_session_set_timeouts(session, CONNECT_TIMEOUT_S, call->timeout_s,
+                              call->timeout_s);
     ok = http_call_stream(session, &request, &handlers, call, &error);
     if (!ok && !atomic_load(&call->stopped)) {
         LOG_WARN("call to the endpoint failed", "request=%s error=\"%s\"",
@@ -338,7 +338,7 @@
     call->stops_by_id = work_class_of(work) != WORK_PLAIN;
     call->repeatable = work_repeatable(work);
     call->priority = work_priority(work);
-    call->read_timeout_s = (uint32_t)(left_ms / MS_PER_S + 1);
+    call->timeout_s = (uint32_t)(left_ms / MS_PER_S + 1);
     call->method = work_method(work);
     call->path = work_path(work);
     call->content_type = work_content_type(work);
@@ -371,7 +371,8 @@
     struct http_session *session =
         http_session_create(call->calls->ip, call->calls->port, false);
 
-    http_session_set_timeouts(session, CONNECT_TIMEOUT_S, STOP_READ_TIMEOUT_S);
+    http_session_set_timeouts(session, CONNECT_TIMEOUT_S, STOP_TIMEOUT_S,
+                              STOP_TIMEOUT_S);
     for (int i = 0; i < MAX_STOP_ATTEMPTS && !atomic_load(&call->ended); i++) {
         http_call_fetch(session, &request, NULL, MAX_STOP_RESPONSE_BYTES,
                         NULL);
--- a/agent/health.c
+++ b/agent/health.c
@@ -138,7 +138,8 @@
 
     health->loop = loop;
     health->session = http_session_create(target->ip, target->port, true);
-    http_session_set_timeouts(health->session, CALL_TIMEOUT_S, CALL_TIMEOUT_S);
+    http_session_set_timeouts(health->session, CALL_TIMEOUT_S, CALL_TIMEOUT_S,
+                              CALL_TIMEOUT_S);
     health->path = g_strdup(target->path);
     health->interval_ms = target->interval_ms;
     health->changed = changed;
--- a/agent/main.c
+++ b/agent/main.c
@@ -401,7 +401,7 @@
     agent->identity.incarnation = process_new_incarnation();
     agent->bytes_per_token = 1;
     agent->loop = loop_create();
-    if (agent->loop == NULL || !http_call_init() ||
+    if (agent->loop == NULL ||
         !process_drain_on_signals(agent->loop, &drain, agent)) {
         LOG_ERR("can't start", "error=\"%s\"", strerror(errno));
         return false;
--- a/bench/load.c
+++ b/bench/load.c
@@ -102,7 +102,7 @@
     struct http_session *session =
         http_session_create(address->ip, address->port, reuse);
 
-    http_session_set_timeouts(session, TIMEOUT_S, TIMEOUT_S);
+    http_session_set_timeouts(session, TIMEOUT_S, TIMEOUT_S, TIMEOUT_S);
     return session;
 }
 
@@ -181,6 +181,10 @@
 
     sample->start_us = clock_us();
     ok = http_call_stream(session, &request, &handlers, sample, NULL);
+    if (sample->first_byte_us < sample->start_us) {
+        /* The response had no body. */
+        sample->first_byte_us = clock_us();
+    }
     record_sample(sample, ok);
 }
 
@@ -361,7 +365,6 @@
     if (!closed && (argc != 9 || strcmp(argv[1], "open") != 0)) {
         return usage();
     }
-    http_call_init();
     parse_addresses(argv[2]);
     for (uint32_t i = 0; i < BAND_COUNT; i++) {
         load.bands[i].latencies_us =
--- a/core/config.c
+++ b/core/config.c
@@ -285,7 +285,8 @@
         if (route->model != NULL && g_strcmp0(route->model, model) != 0) {
             continue;
         }
-        if (match > best) {
+        if (match > best ||
+            (match == best && found != NULL && found->model == NULL)) {
             best = match;
             found = route;
         }
--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -10,7 +10,8 @@
 };
 
 struct event_stream {
-    GByteArray *partial;
+    GByteArray *partial; /* the event that is not complete yet */
+    bool at_line_start;  /* of the next byte; carriage returns don't count */
     char last_id[MAX_ID_BYTES + 1];
     bool has_id;
 };
@@ -21,6 +22,7 @@
     struct event_stream *stream = g_new0(struct event_stream, 1);
 
     stream->partial = g_byte_array_new();
+    stream->at_line_start = true;
     return stream;
 }
 
@@ -34,22 +36,20 @@
     g_free(stream);
 }
 
-/* Size of the first complete event, which ends with a blank line; 0 if there
-   is none. */
+/* Number of bytes up to the end of the event, which ends with a blank line; 0
+   if it does not end within them. */
 static size_t
-first_event_bytes(const uint8_t *bytes, size_t count)
+find_event_end(struct event_stream *stream, const uint8_t *bytes, size_t count)
 {
-    bool blank = true;
-
     for (size_t i = 0; i < count; i++) {
         if (bytes[i] == '\n') {
-            if (blank) {
+            if (stream->at_line_start) {
                 return i + 1;
             }
-            blank = true;
+            stream->at_line_start = true;
         }
         else if (bytes[i] != '\r') {
-            blank = false;
+            stream->at_line_start = false;
         }
     }
     return 0;
@@ -101,32 +101,50 @@
     return true;
 }
 
-bool
+/* Appends the partial event, which has become complete, to events. */
+static enum event_stream_result
+complete_event(struct event_stream *stream, GByteArray *events)
+{
+    GByteArray *event = stream->partial;
+
+    if (!parse_event(stream, event->data, event->len)) {
+        return EVENT_STREAM_OUT_OF_ORDER;
+    }
+    g_byte_array_append(events, event->data, event->len);
+    g_byte_array_set_size(event, 0);
+    return EVENT_STREAM_OK;
+}
+
+enum event_stream_result
 event_stream_parse(struct event_stream *stream, const uint8_t *bytes,
                    size_t count, GByteArray *events)
 {
-    size_t done = 0;
-    size_t length;
+    while (count > 0) {
+        size_t end = find_event_end(stream, bytes, count);
+        size_t taken = end > 0 ? end : count;
+        enum event_stream_result result;
 
-    g_byte_array_append(stream->partial, bytes, (guint)count);
-    while ((length = first_event_bytes(stream->partial->data + done,
-                                       stream->partial->len - done)) > 0) {
-        if (!parse_event(stream, stream->partial->data + done, length)) {
-            return false;
+        if (stream->partial->len + taken > EVENT_STREAM_MAX_EVENT_BYTES) {
+            return EVENT_STREAM_EVENT_TOO_LONG;
+        }
+        g_byte_array_append(stream->partial, bytes, (guint)taken);
+        bytes += taken;
+        count -= taken;
+        if (end > 0) {
+            result = complete_event(stream, events);
+            if (result != EVENT_STREAM_OK) {
+                return result;
+            }
         }
-        done += length;
-    }
-    if (done > 0) {
-        g_byte_array_append(events, stream->partial->data, (guint)done);
-        g_byte_array_remove_range(stream->partial, 0, (guint)done);
     }
-    return true;
+    return EVENT_STREAM_OK;
 }
 
 void
 event_stream_discard_partial(struct event_stream *stream)
 {
     g_byte_array_set_size(stream->partial, 0);
+    stream->at_line_start = true;
 }
 
 bool
--- a/core/event_stream.h
+++ b/core/event_stream.h
@@ -15,11 +15,26 @@
 struct event_stream *event_stream_create(void);
 void event_stream_destroy(struct event_stream *stream);
 
+enum {
+    EVENT_STREAM_MAX_EVENT_BYTES = 256 * 1024
+};
+
+enum event_stream_result {
+    EVENT_STREAM_OK,
+    /* An event's id is too long, or not above the previous one: the bytes
+       belong to another run of the request. */
+    EVENT_STREAM_OUT_OF_ORDER,
+    /* An event is longer than EVENT_STREAM_MAX_EVENT_BYTES. */
+    EVENT_STREAM_EVENT_TOO_LONG,
+};
+
 /* Parses received bytes and appends the bytes of all events that are complete
-   now to events. Returns false if an event's id is too long, or not above the
-   previous one: the bytes then belong to another run of the request. */
-bool event_stream_parse(struct event_stream *stream, const uint8_t *bytes,
-                        size_t count, struct _GByteArray *events);
+   now to events. Each byte is read once. After another result than
+   EVENT_STREAM_OK, events holds those before the wrong one, and the stream can
+   only go on with event_stream_discard_partial(). */
+enum event_stream_result event_stream_parse(struct event_stream *stream,
+                                            const uint8_t *bytes, size_t count,
+                                            struct _GByteArray *events);
 
 /* Discards an incomplete event, before bytes of another source follow. The
    last id is kept. */
--- a/core/ini.c
+++ b/core/ini.c
@@ -15,7 +15,7 @@
 
 /* Above the error of a decimal fraction as a double, for numbers whose
    fraction matters. */
-static const double DECIMAL_ERROR = 1e-6;
+static const double decimal_error = 1e-6;
 
 struct ini {
     char *file;
@@ -223,7 +223,7 @@
     while (unit->name != NULL && strcmp(end, unit->name) != 0) {
         unit++;
     }
-    duration_ms = number * (double)unit->factor + DECIMAL_ERROR;
+    duration_ms = number * (double)unit->factor + decimal_error;
     if (unit->name == NULL || duration_ms >= (double)MAX_DURATION_MS) {
         return false;
     }
--- a/entry/agents.c
+++ b/entry/agents.c
@@ -78,7 +78,7 @@
     if (strcmp(member->instance, hello->instance) != 0) {
         LOG_ERR("another instance answers at an address",
                 "expected=%s found=%s", member->instance, hello->instance);
-        members_record_failure(agents->members, agent->node, now_ms);
+        /* on_down() records the failure. */
         link_close(link, "wrong instance");
         return;
     }
--- a/entry/front.c
+++ b/entry/front.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/outcome.h"
@@ -21,6 +22,11 @@
     CONNECTION_MEMORY_BYTES = 32 * 1024,
     MAX_RUNS_PER_ITERATION = 8, /* then other events of the loop are handled */
     BODY_RETRY_AFTER_MS = 1000,
+    /* Least mean rate of a body, beyond the idle timeout: a slow one may take
+       long, one that sends a byte now and then ends. */
+    MIN_BODY_BYTES_PER_S = 1024,
+    SWEEP_INTERVAL_MS = 500,
+    MS_PER_S = 1000,
     LISTEN_BACKLOG = 4096,
 };
 
@@ -31,11 +37,20 @@
     void *data;
     struct MHD_Daemon *daemon;
     struct loop_timer *timer;
+    struct loop_timer *sweep_timer;
+    GHashTable *clients; /* struct client, as a set */
     bool run_posted;
     uint64_t body_memory_used; /* bytes, of all exchanges */
     uint32_t open_exchanges;
 };
 
+/* An open connection of a caller. */
+struct client {
+    int fd;
+    uint64_t reading_since_ms; /* 0: no request is being read */
+    uint64_t body_bytes;       /* of the request that is being read */
+};
+
 enum exchange_state {
     EXCHANGE_READING,      /* the request is not complete yet */
     EXCHANGE_WAITING,      /* the response has not begun */
@@ -54,6 +69,7 @@
 struct exchange {
     struct front *front;
     struct MHD_Connection *connection;
+    struct client *client;
     enum exchange_state state;
     bool suspended;
     bool response_queued; /* passed to libmicrohttpd */
@@ -369,6 +385,67 @@
     return true;
 }
 
+static struct client *
+find_client(struct MHD_Connection *connection)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+    return info->socket_context;
+}
+
+static void
+begin_reading(struct client *client, const struct front *front)
+{
+    client->reading_since_ms = loop_now_ms(front->loop);
+    client->body_bytes = 0;
+}
+
+static void
+on_connection(void *data, struct MHD_Connection *connection, void **context,
+              enum MHD_ConnectionNotificationCode code)
+{
+    struct front *front = data;
+    const union MHD_ConnectionInfo *info;
+
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        g_hash_table_remove(front->clients, *context);
+        return;
+    }
+    info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    *context = g_new0(struct client, 1);
+    ((struct client *)*context)->fd = info->connect_fd;
+    begin_reading(*context, front);
+    g_hash_table_add(front->clients, *context);
+}
+
+/* libmicrohttpd's timeout is one of silence: a caller could send a byte now
+   and then for ever. */
+static void
+on_sweep_timer(void *data, uint64_t now_ms)
+{
+    struct front *front = data;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, front->clients);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        const struct client *client = value;
+        uint64_t due_ms = client->reading_since_ms +
+                          (uint64_t)front->settings.idle_s * MS_PER_S +
+                          client->body_bytes * MS_PER_S / MIN_BODY_BYTES_PER_S;
+
+        if (client->reading_since_ms != 0 && now_ms > due_ms) {
+            LOG_INFO("a caller sends its request too slowly",
+                     "body_bytes=%" G_GUINT64_FORMAT, client->body_bytes);
+            /* libmicrohttpd sees the connection end. */
+            shutdown(client->fd, SHUT_RDWR);
+        }
+    }
+    loop_timer_arm(front->sweep_timer, now_ms + SWEEP_INTERVAL_MS);
+}
+
 /* libmicrohttpd calls this with the target as received, before it splits and
    changes it, and passes the result to on_access(). */
 static void *
@@ -380,6 +457,8 @@
     exchange->front = data;
     exchange->connection = connection;
     exchange->target = g_strdup(target);
+    exchange->client = find_client(connection);
+    begin_reading(exchange->client, exchange->front);
     exchange->body = g_byte_array_new();
     exchange->headers =
         g_array_new(FALSE, FALSE, sizeof(struct response_header));
@@ -434,6 +513,7 @@
         return MHD_YES;
     }
     g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)count);
+    exchange->client->body_bytes = exchange->body->len;
     return MHD_YES;
 }
 
@@ -446,6 +526,7 @@
         return queue_response(exchange);
     }
     exchange->state = EXCHANGE_WAITING;
+    exchange->client->reading_since_ms = 0;
     front->open_exchanges++;
     watch_disconnect(exchange);
     front->handlers.request(front->data, exchange);
@@ -508,6 +589,7 @@
         return;
     }
     *exchange_slot = NULL;
+    begin_reading(exchange->client, front);
     if (exchange->state != EXCHANGE_READING && !exchange->refused) {
         front->open_exchanges--;
         front->handlers.closed(front->data, exchange);
@@ -588,6 +670,7 @@
         MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_UNESCAPE_CALLBACK, keep_escapes,
         NULL, MHD_OPTION_URI_LOG_CALLBACK, create_exchange, front,
         MHD_OPTION_NOTIFY_COMPLETED, on_completed, front,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, front,
         MHD_OPTION_CONNECTION_LIMIT, front->settings.max_connections,
         MHD_OPTION_CONNECTION_TIMEOUT, front->settings.idle_s,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
@@ -595,6 +678,15 @@
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
 }
 
+static void
+free_front(struct front *front)
+{
+    loop_timer_destroy(front->timer);
+    loop_timer_destroy(front->sweep_timer);
+    g_hash_table_destroy(front->clients);
+    g_free(front);
+}
+
 struct front *
 front_create(struct loop *loop, const struct front_settings *settings,
              const struct front_handlers *handlers, void *data)
@@ -607,6 +699,8 @@
     front->handlers = *handlers;
     front->data = data;
     front->timer = loop_timer_create(loop, on_timer, front);
+    front->sweep_timer = loop_timer_create(loop, on_sweep_timer, front);
+    front->clients = g_hash_table_new_full(NULL, NULL, g_free, NULL);
     front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
         goto fail;
@@ -617,10 +711,10 @@
         MHD_stop_daemon(front->daemon);
         goto fail;
     }
+    loop_timer_arm(front->sweep_timer, loop_now_ms(loop) + SWEEP_INTERVAL_MS);
     return front;
 fail:
-    loop_timer_destroy(front->timer);
-    g_free(front);
+    free_front(front);
     return NULL;
 }
 
@@ -637,8 +731,7 @@
         loop_unwatch(front->loop, info->epoll_fd);
     }
     MHD_stop_daemon(front->daemon);
-    loop_timer_destroy(front->timer);
-    g_free(front);
+    free_front(front);
 }
 
 void
--- a/entry/main.c
+++ b/entry/main.c
@@ -356,7 +356,7 @@
     entry->identity.data_centre = entry->settings.data_centre;
     entry->identity.incarnation = process_new_incarnation();
     entry->loop = loop_create();
-    if (entry->loop == NULL || !http_call_init() ||
+    if (entry->loop == NULL ||
         !process_drain_on_signals(entry->loop, &drain, entry)) {
         LOG_ERR("can't start", "error=\"%s\"", strerror(errno));
         return false;
--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -25,6 +25,10 @@
     DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024,
     DEFAULT_HEAD_TIMEOUT_MS = 3000,
     DEFAULT_IDLE_TIMEOUT_MS = 15000,
+    /* Least mean rate of a body, beyond the idle timeout: a slow one may take
+       long, one that sends a byte now and then ends. */
+    MIN_BODY_BYTES_PER_S = 1024,
+    MS_PER_S = 1000,
     /* How long the rest of a request is read and dropped after an early
        response. Closing at once would make TCP reset the connection, and the
        caller could lose the response. */
@@ -54,6 +58,7 @@
     bool head_only; /* HEAD: the response has no body */
     void *exchange; /* the handlers'; NULL: none, or ended() was called */
     GByteArray *body;
+    uint64_t body_started_ms;
 };
 
 struct callers {
@@ -67,6 +72,14 @@
     uint32_t pending;
 };
 
+/* When the bytes of the body so far are due, at the least rate. */
+static uint64_t
+body_due_ms(const struct caller *caller)
+{
+    return caller->body_started_ms +
+           (uint64_t)caller->body->len * MS_PER_S / MIN_BODY_BYTES_PER_S;
+}
+
 static void
 set_state(struct caller *caller, enum caller_state state)
 {
@@ -82,7 +95,8 @@
         loop_timer_arm(caller->timer, now_ms + limits->head_timeout_ms);
         break;
     case CALLER_BODY:
-        loop_timer_arm(caller->timer, now_ms + limits->idle_timeout_ms);
+        loop_timer_arm(caller->timer, MIN(now_ms, body_due_ms(caller)) +
+                                          limits->idle_timeout_ms);
         break;
     case CALLER_LINGER:
         loop_timer_arm(caller->timer, now_ms + LINGER_MS);
@@ -166,6 +180,7 @@
     caller->keep_alive = head->keep_alive;
     caller->head_only = strcmp(head->method, "HEAD") == 0;
     g_byte_array_set_size(caller->body, 0);
+    caller->body_started_ms = loop_now_ms(callers->loop);
     set_state(caller, CALLER_BODY);
     if (http_head_count(head, "Host") > 1) {
         reject(caller, "HTTP/1.1 400 Bad Request\r\n");
@@ -192,8 +207,8 @@
         reject(caller, "HTTP/1.1 413 Content Too Large\r\n");
         return;
     }
-    set_state(caller, CALLER_BODY);
     g_byte_array_append(caller->body, bytes, (guint)count);
+    set_state(caller, CALLER_BODY);
 }
 
 static void
--- a/gateway/gateway_counters.h
+++ b/gateway/gateway_counters.h
@@ -20,6 +20,7 @@
     COUNT_RETRIES,            /* retries that the retry budget allowed */
     COUNT_RETRY_BUDGET_EMPTY, /* retries that the retry budget refused */
     COUNT_RESUMED,            /* retries of streams whose head was sent */
+    COUNT_ENDLESS,            /* responses beyond a bound of head or event */
     GATEWAY_COUNTER_COUNT,
 };
 
--- a/gateway/holds.c
+++ b/gateway/holds.c
@@ -18,6 +18,9 @@
     HOLD_TTL_MS = 3600,
     /* Three renewals per TTL, so that two may be lost. */
     RENEW_INTERVAL_MS = 1200,
+    /* Less than the interval, so that a renewal whose response hangs is sent
+       again on another connection. */
+    ANSWER_TIMEOUT_MS = 1000,
     /* A hold request opens no connection if this gateway already has this many
        to the endpoint. Hold requests are rare and share the pool with callers'
        requests, whose connections count too. */
@@ -142,10 +145,11 @@
 send_request(struct holds *holds, struct hold_request *request,
              const GByteArray *bytes, const struct upstream_handlers *handlers)
 {
-    const struct upstream_request upstream_request = {.head = bytes->data,
-                                                      .head_bytes = bytes->len,
-                                                      .max_connections =
-                                                          MAX_CONNECTIONS};
+    const struct upstream_request upstream_request = {
+        .head = bytes->data,
+        .head_bytes = bytes->len,
+        .max_connections = MAX_CONNECTIONS,
+        .timeout_ms = ANSWER_TIMEOUT_MS};
 
     return upstreams_send(holds->upstreams, request->endpoint,
                           &upstream_request, handlers, request);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -393,7 +393,7 @@
     gateway->identity.data_centre = gateway->settings.gateway.data_centre;
     gateway->identity.incarnation = process_new_incarnation();
     gateway->loop = loop_create();
-    if (gateway->loop == NULL || !http_call_init() ||
+    if (gateway->loop == NULL ||
         !process_drain_on_signals(gateway->loop, &drain, gateway) ||
         !process_on_hangup(gateway->loop, reread_settings, gateway) ||
         stat(gateway->settings_path, &status) != 0) {
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -222,18 +222,28 @@
 relay_events(struct forward *forward, const uint8_t *bytes, size_t count)
 {
     GByteArray *events = g_byte_array_new();
-    bool in_order = event_stream_parse(forward->events, bytes, count, events);
+    enum event_stream_result result =
+        event_stream_parse(forward->events, bytes, count, events);
 
-    if (in_order && events->len > 0) {
+    if (events->len > 0) {
         record_event(forward);
         send_response_head(forward);
         caller_stream_chunk(forward->caller, events->data, events->len);
         pause_if_queue_full(forward);
     }
     g_byte_array_unref(events);
-    if (!in_order) {
+    switch (result) {
+    case EVENT_STREAM_OK:
+        return;
+    case EVENT_STREAM_OUT_OF_ORDER:
         forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                             "events out of order");
+        return;
+    case EVENT_STREAM_EVENT_TOO_LONG:
+        gateway_counters_count(COUNT_ENDLESS);
+        forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
+                            "an event without end");
+        return;
     }
 }
 
@@ -310,6 +320,9 @@
     struct forward *forward = data;
 
     forward->upstream = NULL;
+    if (failure == UPSTREAM_ENDLESS) {
+        gateway_counters_count(COUNT_ENDLESS);
+    }
     forward_end_attempt(forward,
                         failure == UPSTREAM_NOT_SENT ? ATTEMPT_NOT_SENT
                                                      : ATTEMPT_MAY_HAVE_RUN,
--- a/gateway/upstreams.c
+++ b/gateway/upstreams.c
@@ -34,7 +34,8 @@
     struct upstreams *upstreams;
     struct upstream_pool *pool;
     struct http_connection *connection;
-    struct loop_timer *connect_timer;
+    struct loop_timer *timer; /* of connecting, then of the response */
+    uint64_t due_ms;          /* of the response; 0: any time */
     struct upstream_handlers handlers;
     void *data;
     bool connected;
@@ -68,7 +69,7 @@
     upstream->pool->open--;
     upstream->upstreams->open_count--;
     http_connection_destroy(upstream->connection);
-    loop_timer_destroy(upstream->connect_timer);
+    loop_timer_destroy(upstream->timer);
     g_free(upstream);
 }
 
@@ -82,13 +83,24 @@
     handlers.failed(data, failure, why);
 }
 
+static void
+arm_response_timer(struct upstream *upstream)
+{
+    if (upstream->due_ms != 0) {
+        loop_timer_arm(upstream->timer, upstream->due_ms);
+    }
+    else {
+        loop_timer_disarm(upstream->timer);
+    }
+}
+
 static void
 on_opened(void *data)
 {
     struct upstream *upstream = data;
 
     upstream->connected = true;
-    loop_timer_disarm(upstream->connect_timer);
+    arm_response_timer(upstream);
 }
 
 static void
@@ -123,30 +135,24 @@
     }
     else {
         upstream->busy = false;
+        loop_timer_disarm(upstream->timer);
         upstream->idle_since_ms = loop_now_ms(upstream->upstreams->loop);
         g_queue_push_head(&upstream->pool->idle, upstream);
     }
     handlers.end(owner);
 }
 
-static const char *
-failure_text(enum http_connection_end end)
+static enum upstream_failure
+failure_of(enum http_connection_end end)
 {
     switch (end) {
-    case HTTP_CONNECTION_CLOSED:
-        return "closed by the endpoint";
-    case HTTP_CONNECTION_RESET:
-        return "connection broken";
     case HTTP_CONNECTION_CONNECT_FAILED:
-        return "no connection";
-    case HTTP_CONNECTION_BAD_MESSAGE:
-        return "not an HTTP answer";
+        return UPSTREAM_NOT_SENT;
     case HTTP_CONNECTION_HEAD_TOO_BIG:
-        return "head too big";
-    case HTTP_CONNECTION_UNEXPECTED_BYTES:
-        return "bytes beyond the answer";
+        return UPSTREAM_ENDLESS;
+    default:
+        return UPSTREAM_MAY_HAVE_RUN;
     }
-    return "";
 }
 
 static void
@@ -158,17 +164,20 @@
         free_upstream(upstream);
         return;
     }
-    fail(upstream,
-         end == HTTP_CONNECTION_CONNECT_FAILED ? UPSTREAM_NOT_SENT
-                                               : UPSTREAM_MAY_HAVE_RUN,
-         failure_text(end));
+    fail(upstream, failure_of(end), http_connection_end_text(end));
 }
 
 static void
-on_connect_timer(void *data, uint64_t now_ms)
+on_timer(void *data, uint64_t now_ms)
 {
+    struct upstream *upstream = data;
+
     (void)now_ms;
-    fail(data, UPSTREAM_NOT_SENT, "no connection in time");
+    if (upstream->connected) {
+        fail(upstream, UPSTREAM_MAY_HAVE_RUN, "no answer in time");
+        return;
+    }
+    fail(upstream, UPSTREAM_NOT_SENT, "no connection in time");
 }
 
 static const struct http_connection_handlers connection_handlers = {
@@ -330,9 +339,8 @@
     pool->open++;
     upstreams->open_count++;
     upstreams->opened_total++;
-    upstream->connect_timer =
-        loop_timer_create(upstreams->loop, on_connect_timer, upstream);
-    loop_timer_arm(upstream->connect_timer,
+    upstream->timer = loop_timer_create(upstreams->loop, on_timer, upstream);
+    loop_timer_arm(upstream->timer,
                    loop_now_ms(upstreams->loop) + CONNECT_TIMEOUT_MS);
     return upstream;
 }
@@ -355,6 +363,12 @@
     }
     upstream->handlers = *handlers;
     upstream->data = data;
+    upstream->due_ms = request->timeout_ms != 0
+                           ? loop_now_ms(upstreams->loop) + request->timeout_ms
+                           : 0;
+    if (upstream->connected) {
+        arm_response_timer(upstream);
+    }
     http_connection_next(upstream->connection, request->head_only);
     http_connection_send(upstream->connection, request->head,
                          request->head_bytes);
--- a/gateway/upstreams.h
+++ b/gateway/upstreams.h
@@ -19,6 +19,7 @@
 enum upstream_failure {
     UPSTREAM_NOT_SENT,     /* no connection: the endpoint hasn't received it */
     UPSTREAM_MAY_HAVE_RUN, /* the endpoint may have run the request */
+    UPSTREAM_ENDLESS,      /* as above, and its response's head has no end */
 };
 
 struct upstream_handlers {
@@ -42,6 +43,9 @@
        endpoint while the request is on its way, so only one that was used less
        than half a second ago is reused. */
     bool at_most_once;
+    /* Time for the complete response; 0: the owner cancels it when it is due.
+     */
+    uint32_t timeout_ms;
     /* Limit of this gateway's connections to the endpoint, idle ones included.
      */
     uint32_t max_connections;
--- a/io/http_call.c
+++ b/io/http_call.c
@@ -1,18 +1,42 @@
 #include "io/http_call.h"
 
-#include <neon/ne_request.h>
-#include <neon/ne_session.h>
-#include <neon/ne_socket.h>
-#include <neon/ne_utils.h>
+#include <string.h>
+
+#include "core/bytes.h"
+#include "io/http_connection.h"
+#include "io/loop.h"
 
 enum {
-    READ_BLOCK_BYTES = 16 * 1024,
+    MAX_HEAD_BYTES = 64 * 1024,
+    MS_PER_S = 1000,
     DECIMAL = 10
 };
 
+/* A call in progress. */
+struct call {
+    const struct http_response_handlers *handlers;
+    void *context;
+    uint64_t deadline_ms; /* of the complete response */
+    bool begun;           /* bytes of the response have arrived */
+    bool closed;          /* by the peer, before the response was complete */
+    bool keep_alive;
+    bool ok;
+    enum http_error error; /* of a failed call */
+    const char *why;       /* a static text */
+};
+
 struct http_session {
-    ne_session *neon;
+    char *ip;
+    uint16_t port;
+    bool reuse;
+    struct loop *loop; /* runs during a call only */
+    struct loop_timer *timer;
+    struct http_connection *connection; /* NULL: none is open */
+    uint32_t connect_timeout_ms;
+    uint32_t read_timeout_ms;
+    uint32_t total_timeout_ms;
     uint64_t index;
+    struct call *call; /* NULL: none is in progress */
 };
 
 GQuark
@@ -21,38 +45,178 @@
     return g_quark_from_static_string("http-error");
 }
 
-bool
-http_call_init(void)
+static void
+close_connection(struct http_session *session)
+{
+    http_connection_destroy(session->connection);
+    session->connection = NULL;
+}
+
+static void
+end_call(struct http_session *session, bool ok, enum http_error error,
+         const char *why)
+{
+    struct call *call = session->call;
+
+    call->ok = ok;
+    call->error = error;
+    call->why = why;
+    loop_timer_disarm(session->timer);
+    loop_stop(session->loop);
+    if (!ok || !call->keep_alive || !session->reuse ||
+        http_connection_queued_bytes(session->connection) > 0) {
+        close_connection(session);
+    }
+}
+
+/* The response must go on within the time, and be complete by the call's
+   deadline. A handler may have taken a while, so the clock is read. */
+static void
+arm_timer(struct http_session *session, uint32_t timeout_ms)
+{
+    loop_timer_arm(session->timer, MIN(loop_monotonic_ms() + timeout_ms,
+                                       session->call->deadline_ms));
+}
+
+/* Handlers of the connection. */
+
+static void
+on_opened(void *data)
+{
+    struct http_session *session = data;
+
+    session->call->error = HTTP_ERROR_NO_RESPONSE;
+    arm_timer(session, session->read_timeout_ms);
+}
+
+static void
+on_begun(void *data)
+{
+    struct http_session *session = data;
+
+    session->call->begun = true;
+}
+
+static void
+on_head(void *data, const struct http_head *head)
+{
+    struct http_session *session = data;
+    struct call *call = session->call;
+    const char *content_type = http_head_value(head, "Content-Type");
+    const char *index = http_head_value(head, "X-Consul-Index");
+
+    call->keep_alive = head->keep_alive && !head->until_close;
+    session->index =
+        index != NULL ? g_ascii_strtoull(index, NULL, DECIMAL) : 0;
+    if (!call->handlers->head(call->context, head->status,
+                              content_type != NULL ? content_type : "")) {
+        end_call(session, false, HTTP_ERROR_NO_RESPONSE, "stopped");
+        return;
+    }
+    arm_timer(session, session->read_timeout_ms);
+}
+
+static void
+on_body(void *data, const uint8_t *bytes, size_t count)
 {
-    return ne_sock_init() == 0;
+    struct http_session *session = data;
+    struct call *call = session->call;
+
+    if (!call->handlers->data(call->context, (const char *)bytes, count)) {
+        end_call(session, false, HTTP_ERROR_NO_RESPONSE, "stopped");
+        return;
+    }
+    arm_timer(session, session->read_timeout_ms);
 }
 
+static void
+on_complete(void *data)
+{
+    end_call(data, true, HTTP_ERROR_NO_RESPONSE, "");
+}
+
+static void
+on_ended(void *data, enum http_connection_end end)
+{
+    struct http_session *session = data;
+
+    if (session->call->ok) {
+        /* Bytes after the complete response. */
+        close_connection(session);
+        return;
+    }
+    session->call->closed = true;
+    end_call(session, false, session->call->error,
+             http_connection_end_text(end));
+}
+
+static void
+on_timer(void *data, uint64_t now_ms)
+{
+    struct http_session *session = data;
+
+    (void)now_ms;
+    end_call(session, false, session->call->error, "no answer in time");
+}
+
+static const struct http_connection_handlers connection_handlers = {
+    .opened = on_opened,
+    .begun = on_begun,
+    .head = on_head,
+    .body = on_body,
+    .complete = on_complete,
+    .ended = on_ended,
+};
+
+/* Sessions. */
+
 struct http_session *
 http_session_create(const char *ip, uint16_t port, bool reuse)
 {
     struct http_session *session = g_new0(struct http_session, 1);
 
-    session->neon = ne_session_create("http", ip, port);
-    ne_set_session_flag(session->neon, NE_SESSFLAG_PERSIST, reuse ? 1 : 0);
+    session->ip = g_strdup(ip);
+    session->port = port;
+    session->reuse = reuse;
+    session->loop = loop_create();
+    if (session->loop != NULL) {
+        session->timer = loop_timer_create(session->loop, on_timer, session);
+    }
     return session;
 }
 
+static void
+stop_loop(void *data, uint64_t now_ms)
+{
+    (void)now_ms;
+    loop_stop(data);
+}
+
 void
 http_session_destroy(struct http_session *session)
 {
     if (session == NULL) {
         return;
     }
-    ne_session_destroy(session->neon);
+    if (session->loop != NULL) {
+        close_connection(session);
+        /* The loop frees closed connections in its next iteration. */
+        loop_post(session->loop, stop_loop, session->loop);
+        loop_run(session->loop);
+        loop_timer_destroy(session->timer);
+        loop_destroy(session->loop);
+    }
+    g_free(session->ip);
     g_free(session);
 }
 
 void
 http_session_set_timeouts(struct http_session *session, uint32_t connect_s,
-                          uint32_t read_s)
+                          uint32_t read_s, uint32_t total_s)
 {
-    ne_set_connect_timeout(session->neon, (int)connect_s);
-    ne_set_read_timeout(session->neon, (int)read_s);
+    session->connect_timeout_ms = connect_s * MS_PER_S;
+    session->read_timeout_ms = read_s * MS_PER_S;
+    session->total_timeout_ms = total_s * MS_PER_S;
 }
 
 uint64_t
@@ -61,58 +225,76 @@
     return session->index;
 }
 
-static void
-save_index(struct http_session *session, ne_request *request)
-{
-    const char *index = ne_get_response_header(request, "X-Consul-Index");
+/* Calls. */
 
-    session->index =
-        index != NULL ? g_ascii_strtoull(index, NULL, DECIMAL) : 0;
-}
-
-static ne_request *
+static GByteArray *
 build_request(const struct http_session *session,
               const struct http_request *request)
 {
-    ne_request *built =
-        ne_request_create(session->neon, request->method, request->path);
+    GByteArray *out = g_byte_array_new();
+    GString *head = g_string_new(NULL);
 
+    g_string_printf(head, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n", request->method,
+                    request->path, session->ip, session->port);
     if (request->content_type != NULL && request->content_type[0] != '\0') {
-        ne_add_request_header(built, "Content-Type", request->content_type);
+        g_string_append_printf(head, "Content-Type: %s\r\n",
+                               request->content_type);
     }
     for (size_t i = 0; i < request->header_count; i++) {
-        ne_add_request_header(built, request->headers[i].name,
-                              request->headers[i].value);
+        g_string_append_printf(head, "%s: %s\r\n", request->headers[i].name,
+                               request->headers[i].value);
+    }
+    if (request->body_bytes > 0 || request->method[0] == 'P') {
+        /* POST, PUT and PATCH have a body, if only an empty one. */
+        g_string_append_printf(head, "Content-Length: %zu\r\n",
+                               request->body_bytes);
+    }
+    if (!session->reuse) {
+        g_string_append(head, "Connection: close\r\n");
     }
+    g_string_append(head, "\r\n");
+    bytes_add_text(out, head->str);
     if (request->body_bytes > 0) {
-        ne_set_request_body_buffer(built, request->body, request->body_bytes);
+        g_byte_array_append(out, request->body, (guint)request->body_bytes);
     }
-    return built;
+    g_string_free(head, TRUE);
+    return out;
 }
 
-static enum http_error
-error_code(int result)
+static bool
+open_connection(struct http_session *session)
 {
-    return result == NE_CONNECT || result == NE_LOOKUP
-               ? HTTP_ERROR_NOT_SENT
-               : HTTP_ERROR_NO_RESPONSE;
+    static const struct http_connection_settings settings = {
+        .max_head_bytes = MAX_HEAD_BYTES};
+
+    session->connection =
+        http_connection_connect(session->loop, session->ip, session->port,
+                                &settings, &connection_handlers, session);
+    return session->connection != NULL;
 }
 
-static bool
-read_blocks(ne_request *request, const struct http_response_handlers *handlers,
-            void *context, bool *stopped)
+/* Makes the call on the open connection, or on a new one. */
+static void
+attempt(struct http_session *session, const GByteArray *message,
+        bool head_only)
 {
-    char block[READ_BLOCK_BYTES];
-    ssize_t count;
+    struct call *call = session->call;
+    bool reused = session->connection != NULL;
 
-    while ((count = ne_read_response_block(request, block, sizeof(block))) >
-           0) {
-        if (!handlers->data(context, block, (size_t)count)) {
-            *stopped = true;
-            return false;
-        }
+    call->begun = false;
+    call->closed = false;
+    call->keep_alive = false;
+    call->ok = false;
+    call->error = reused ? HTTP_ERROR_NO_RESPONSE : HTTP_ERROR_NOT_SENT;
+    call->why = "no connection";
+    if (!reused && !open_connection(session)) {
+        return;
     }
-    return count == 0;
+    arm_timer(session,
+              reused ? session->read_timeout_ms : session->connect_timeout_ms);
+    http_connection_next(session->connection, head_only);
+    http_connection_send(session->connection, message->data, message->len);
+    loop_run(session->loop);
 }
 
 bool
@@ -121,36 +303,38 @@
                  const struct http_response_handlers *handlers, void *context,
                  GError **error)
 {
-    ne_request *built = build_request(session, request);
-    bool stopped = false;
-    bool ok = false;
-    int result = ne_begin_request(built);
-    const char *content_type;
-
-    if (result != NE_OK) {
-        g_set_error(error, http_error_quark(), error_code(result), "%s",
-                    ne_get_error(session->neon));
-        goto out;
-    }
-    save_index(session, built);
-    content_type = ne_get_response_header(built, "Content-Type");
-    if (!handlers->head(context, (uint32_t)ne_get_status(built)->code,
-                        content_type != NULL ? content_type : "")) {
-        stopped = true;
-    }
-    ok = !stopped && read_blocks(built, handlers, context, &stopped) &&
-         ne_end_request(built) == NE_OK;
-    if (!ok) {
-        g_set_error(error, http_error_quark(), HTTP_ERROR_NO_RESPONSE, "%s",
-                    stopped ? "stopped" : ne_get_error(session->neon));
-    }
-out:
-    ne_request_destroy(built);
-    if (!ok) {
-        /* The next call must not read the rest of this response. */
-        ne_close_connection(session->neon);
-    }
-    return ok;
+    struct call call = {.handlers = handlers,
+                        .context = context,
+                        .deadline_ms =
+                            loop_monotonic_ms() + session->total_timeout_ms};
+    GByteArray *message = build_request(session, request);
+    bool head_only = strcmp(request->method, "HEAD") == 0;
+    bool reused;
+
+    session->call = &call;
+    if (session->connection != NULL &&
+        http_connection_is_stale(session->connection)) {
+        close_connection(session);
+    }
+    reused = session->connection != NULL;
+    if (session->loop == NULL) {
+        call.why = "no descriptors left";
+        call.error = HTTP_ERROR_NOT_SENT;
+    }
+    else {
+        attempt(session, message, head_only);
+        /* The peer may have closed the kept connection meanwhile. */
+        if (reused && call.closed && !call.begun) {
+            attempt(session, message, head_only);
+        }
+    }
+    session->call = NULL;
+    g_byte_array_unref(message);
+    if (!call.ok) {
+        g_set_error(error, http_error_quark(), call.error, "%s:%u: %s",
+                    session->ip, session->port, call.why);
+    }
+    return call.ok;
 }
 
 struct fetch {
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -8,8 +8,9 @@
 
 #include "io/http_message.h"
 
-/* Blocking HTTP client for calls to endpoints and to the platform, over neon.
-   Only one thread may use a session at a time. */
+/* Blocking HTTP client for calls to endpoints and to the platform. Only one
+   thread may use a session at a time. A response has a bound in time as a
+   whole and one for each part, and its head one in bytes. */
 
 struct http_session;
 
@@ -40,18 +41,18 @@
     bool (*data)(void *context, const char *bytes, size_t count);
 };
 
-/* With reuse the session keeps its connection open for the next call. neon
-   resends a request by itself if a kept connection turns out to be closed, so
-   sessions for calls that must not be repeated don't reuse connections. */
+/* With reuse the session keeps its connection open for the next call, and
+   sends a request once more if that turns out to be closed. So sessions for
+   calls that must not be repeated don't reuse connections. */
 struct http_session *http_session_create(const char *ip, uint16_t port,
                                          bool reuse);
 void http_session_destroy(struct http_session *session);
 
-/* Sets the timeouts of connecting and of each read, in seconds, at least 1.
-   neon sets the read timeout when it opens a connection, so that a connection
-   which the session keeps open has that of the call that opened it. */
+/* Sets the timeouts of the next calls, in seconds, at least 1: of connecting,
+   of each pause within a response, and of a call as a whole. */
 void http_session_set_timeouts(struct http_session *session,
-                               uint32_t connect_s, uint32_t read_s);
+                               uint32_t connect_s, uint32_t read_s,
+                               uint32_t total_s);
 
 /* Makes a call and passes the response to the handlers as it arrives. Returns
    false with an error unless the response was complete. */
@@ -70,8 +71,4 @@
 /* Returns the X-Consul-Index header of the last response, 0 if it had none. */
 uint64_t http_session_index(const struct http_session *session);
 
-/* Initialises neon. Called once in a process, before any other function
-   here. Returns false if that fails. */
-bool http_call_init(void);
-
 #endif
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -19,9 +19,14 @@
     /* Limit of buffered requests that arrive while an earlier one is being
        processed; beyond it, reading stops. */
     MAX_PIPELINED_BYTES = 64 * 1024,
-    /* How long a closing connection waits for its peer to take the queue. */
-    CLOSE_TIMEOUT_MS = 2000,
+    /* A closing connection sends its queue as long as the peer takes some of
+       it within the one time, up to the other. */
+    CLOSE_PAUSE_MS = 2000,
+    CLOSE_LIMIT_MS = 30000,
     KEEPALIVE_PROBES = 2,
+    /* Informational responses (1xx) before the final one. */
+    MAX_INFORMATIONAL = 16,
+    MAX_HEADERS = 512,
 };
 
 /* Offsets into the text of the head rather than pointers, since the text moves
@@ -45,6 +50,8 @@
     bool in_head;
     bool in_value; /* the next on_field() begins a new header */
     uint32_t epoll_events;
+    uint32_t informational; /* responses since the last final one */
+    uint64_t close_limit_ms;
     struct http_connection_settings settings;
     struct http_connection_handlers handlers;
     void *data;
@@ -60,6 +67,26 @@
 
 static void update_events(struct http_connection *conn);
 
+const char *
+http_connection_end_text(enum http_connection_end end)
+{
+    switch (end) {
+    case HTTP_CONNECTION_CLOSED:
+        return "closed by the peer";
+    case HTTP_CONNECTION_RESET:
+        return "connection broken";
+    case HTTP_CONNECTION_CONNECT_FAILED:
+        return "no connection";
+    case HTTP_CONNECTION_BAD_MESSAGE:
+        return "not an HTTP answer";
+    case HTTP_CONNECTION_HEAD_TOO_BIG:
+        return "head too big";
+    case HTTP_CONNECTION_UNEXPECTED_BYTES:
+        return "bytes beyond the answer";
+    }
+    return "";
+}
+
 static void
 free_connection(struct http_connection *conn)
 {
@@ -210,6 +237,19 @@
     return conn->text->len + between + strlen(line_end);
 }
 
+static bool
+is_head_too_big(const struct http_connection *conn)
+{
+    return received_head_bytes(conn) > conn->settings.max_head_bytes ||
+           conn->offsets->len > MAX_HEADERS;
+}
+
+static bool
+is_informational(const struct http_connection *conn)
+{
+    return !conn->server && conn->parser.status_code / 100 == 1;
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -217,10 +257,16 @@
     struct http_head head = {0};
 
     conn->in_head = false;
-    if (!conn->server && parser->status_code / 100 == 1) {
-        return 0;
+    if (is_informational(conn)) {
+        conn->informational++;
+        if (conn->informational <= MAX_INFORMATIONAL) {
+            return 0;
+        }
+        report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
+        return -1;
     }
-    if (received_head_bytes(conn) > conn->settings.max_head_bytes) {
+    conn->informational = 0;
+    if (is_head_too_big(conn)) {
         report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
         return -1;
     }
@@ -246,7 +292,7 @@
 {
     struct http_connection *conn = parser->data;
 
-    if (!conn->server && parser->status_code / 100 == 1) {
+    if (is_informational(conn)) {
         return 0;
     }
     conn->awaiting_next = true;
@@ -297,11 +343,15 @@
         return;
     }
     if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-        report_end(conn, HTTP_CONNECTION_BAD_MESSAGE);
+        /* The parser bounds what surrounds a body, too: chunk extensions and
+           trailers. */
+        report_end(conn,
+                   HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW
+                       ? HTTP_CONNECTION_HEAD_TOO_BIG
+                       : HTTP_CONNECTION_BAD_MESSAGE);
         return;
     }
-    if (conn->in_head &&
-        received_head_bytes(conn) > conn->settings.max_head_bytes) {
+    if (conn->in_head && is_head_too_big(conn)) {
         report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
     }
 }
@@ -350,6 +400,14 @@
     }
 }
 
+static void
+arm_close_timer(struct http_connection *conn)
+{
+    loop_timer_arm(
+        conn->deferred_timer,
+        MIN(loop_now_ms(conn->loop) + CLOSE_PAUSE_MS, conn->close_limit_ms));
+}
+
 static void
 send_queued(struct http_connection *conn)
 {
@@ -367,6 +425,9 @@
             return;
         }
         conn->out_sent += (size_t)count;
+        if (conn->closing) {
+            arm_close_timer(conn);
+        }
     }
     if (conn->out_sent > 0) {
         g_byte_array_set_size(conn->out, 0);
@@ -416,7 +477,8 @@
     if (conn->connecting) {
         complete_connect(conn);
     }
-    if (!conn->destroyed && !conn->ended && (events & EPOLLOUT) != 0) {
+    /* What was queued is sent after the end of receiving, too. */
+    if (!conn->destroyed && !conn->connecting && (events & EPOLLOUT) != 0) {
         send_queued(conn);
     }
     if (!conn->destroyed && !conn->ended && !conn->connecting &&
@@ -622,6 +684,6 @@
         return;
     }
     conn->closing = true;
-    loop_timer_arm(conn->deferred_timer,
-                   loop_now_ms(conn->loop) + CLOSE_TIMEOUT_MS);
+    conn->close_limit_ms = loop_now_ms(conn->loop) + CLOSE_LIMIT_MS;
+    arm_close_timer(conn);
 }
--- a/io/http_connection.h
+++ b/io/http_connection.h
@@ -19,11 +19,16 @@
     HTTP_CONNECTION_RESET,          /* the connection failed */
     HTTP_CONNECTION_CONNECT_FAILED, /* connecting failed; nothing was sent */
     HTTP_CONNECTION_BAD_MESSAGE,    /* invalid HTTP, or incomplete response */
-    HTTP_CONNECTION_HEAD_TOO_BIG,   /* the head exceeds max_head_bytes */
+    /* The head exceeds max_head_bytes or 512 headers, or informational
+       responses, chunk extensions or trailers have no end. */
+    HTTP_CONNECTION_HEAD_TOO_BIG,
     /* Client: bytes have arrived when no response was due. */
     HTTP_CONNECTION_UNEXPECTED_BYTES,
 };
 
+/* Short static text for logs. */
+const char *http_connection_end_text(enum http_connection_end end);
+
 struct http_connection_handlers {
     /* The connection is established; client side only. May be NULL. */
     void (*opened)(void *data);
@@ -38,8 +43,7 @@
     void (*complete)(void *data);
     /* Nothing more will be received. The owner has to destroy the connection.
        After HTTP_CONNECTION_BAD_MESSAGE and HTTP_CONNECTION_HEAD_TOO_BIG it
-       can still send a response first, of which only what the socket takes
-       immediately is sent. */
+       can still send a response first. */
     void (*ended)(void *data, enum http_connection_end end);
     /* The kernel has taken all queued bytes. May be NULL. */
     void (*all_sent)(void *data);
@@ -89,7 +93,8 @@
    has sent bytes on it. */
 bool http_connection_is_stale(const struct http_connection *conn);
 
-/* Closes the connection and frees it when the queue is sent or after 2 s. Only
+/* Closes the connection and frees it when the queue is sent, when the peer
+   takes nothing of it for 2 s, or after 30 s. Only
    for a connection whose message is complete and whose end was not reported:
    then no handler is called any more. */
 void http_connection_close(struct http_connection *conn);
--- a/io/log.c
+++ b/io/log.c
@@ -91,28 +91,68 @@
     return level <= max_level;
 }
 
+/* Whether a quote ends a value: the end of the line or another field follows.
+   Texts of errors may have quotes of their own. */
+static bool
+ends_value(const char *quote)
+{
+    static const char key_characters[] = "abcdefghijklmnopqrstuvwxyz_";
+    size_t key_length;
+
+    if (quote[0] != '"' || quote[1] == '\0') {
+        return quote[0] == '"';
+    }
+    key_length = strspn(quote + 2, key_characters);
+    return quote[1] == ' ' && key_length > 0 && quote[2 + key_length] == '=';
+}
+
+/* Reads the next key=value of the fields, whose value may be in quotes, and
+   adds it to the object. Returns what follows it. */
+static const char *
+add_field(json_t *object, const char *fields)
+{
+    const char *equals = strchr(fields, '=');
+    const char *value;
+    const char *end;
+    char *key;
+
+    if (equals == NULL) {
+        return fields + strlen(fields);
+    }
+    value = equals + 1;
+    if (value[0] == '"') {
+        value++;
+        end = value;
+        while (end[0] != '\0' && !ends_value(end)) {
+            end++;
+        }
+    }
+    else {
+        end = value + strcspn(value, " ");
+    }
+    key = g_strndup(fields, (gsize)(equals - fields));
+    json_object_set_new(object, key,
+                        json_stringn(value, (size_t)(end - value)));
+    g_free(key);
+    end += end[0] == '"' ? 1 : 0;
+    return end + strspn(end, " ");
+}
+
 static char *
 json_line(enum log_level level, const char *part, const char *event,
           const char *fields, const char *when)
 {
     json_t *object = json_object();
-    char **pairs = g_strsplit(fields, " ", -1);
     char *line;
 
     json_object_set_new(object, "time", json_string(when));
     json_object_set_new(object, "level", json_string(level_names[level]));
     json_object_set_new(object, "part", json_string(part));
     json_object_set_new(object, "event", json_string(event));
-    for (size_t i = 0; pairs[i] != NULL; i++) {
-        char *equals = strchr(pairs[i], '=');
-
-        if (equals != NULL) {
-            *equals = '\0';
-            json_object_set_new(object, pairs[i], json_string(equals + 1));
-        }
+    while (fields[0] != '\0') {
+        fields = add_field(object, fields);
     }
     line = json_dumps(object, JSON_COMPACT);
-    g_strfreev(pairs);
     json_decref(object);
     return line;
 }
--- a/io/store.c
+++ b/io/store.c
@@ -10,6 +10,8 @@
 enum {
     CONNECT_TIMEOUT_S = 2,
     READ_TIMEOUT_MARGIN_S = 3,
+    /* A long response has so many times the margin of one pause. */
+    MAX_MARGINS_PER_CALL = 3,
     MAX_RESPONSE_BYTES = 4 * 1024 * 1024,
     MS_PER_S = 1000,
     HTTP_OK = 200,
@@ -18,10 +20,8 @@
 
 struct store {
     struct http_session *reads;
-    /* Separate from reads, since neon sets the read timeout of a kept
-       connection only when it opens it. */
     struct http_session *watches;
-    struct http_session *writes; /* without reuse, so neon never resends */
+    struct http_session *writes; /* without reuse, so that nothing is resent */
     uint32_t connect_s;
     uint32_t read_margin_s;
 };
@@ -97,12 +97,14 @@
                                    .body = call->bytes,
                                    .body_bytes = call->count};
     struct http_session *session = call_session(store, call);
+    uint32_t wait_s = call->wait_ms / MS_PER_S;
     GError *failure = NULL;
     uint32_t status;
 
     atomic_fetch_add(&calls_made, 1);
-    http_session_set_timeouts(session, store->connect_s,
-                              call->wait_ms / MS_PER_S + store->read_margin_s);
+    http_session_set_timeouts(
+        session, store->connect_s, wait_s + store->read_margin_s,
+        wait_s + store->read_margin_s * MAX_MARGINS_PER_CALL);
     status = http_call_fetch(session, &request, response, MAX_RESPONSE_BYTES,
                              &failure);
     if (failure != NULL) {
--- a/operator/fleet_status.c
+++ b/operator/fleet_status.c
@@ -138,7 +138,8 @@
     json_int_t generation = 0;
     json_t *json;
 
-    http_session_set_timeouts(session, ENTRY_TIMEOUT_S, ENTRY_TIMEOUT_S);
+    http_session_set_timeouts(session, ENTRY_TIMEOUT_S, ENTRY_TIMEOUT_S,
+                              ENTRY_TIMEOUT_S);
     if (http_call_fetch(session, &request, body, MAX_HEALTH_BYTES, NULL) !=
         0) {
         json = json_loadb((const char *)body->data, body->len, 0, NULL);
--- a/operator/main.c
+++ b/operator/main.c
@@ -204,7 +204,6 @@
     if (!options_parse(argc, argv, &options, &status)) {
         return (int)status;
     }
-    http_call_init();
     status = options.command == COMMAND_CHECK ? run_check(&options)
                                               : run_with_store(&options);
     g_free(options.store_address.ip);
--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -15,7 +15,8 @@
 targets="session_runner placement_runner test_directory test_gateway_core \
     test_callers test_dispatch_random test_binding_random \
     test_binding test_message test_store_follow test_followers \
-    test_upstreams test_front test_numbers"
+    test_upstreams test_front test_numbers \
+    test_http_call test_agents test_log test_config"
 ninja -C "$copy/build" $targets >/dev/null
 
 # targets_of TESTS: tests on real processes need all programs.
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -5,7 +5,8 @@
    worker-N), full?on=1 (refuses requests with 503 as not executed), fail?on=1
    (runs requests and responds with 500), memory?tokens=N (KV memory that can
    be reserved), cut?after=N (streams end in the middle of the event after N
-   whole ones, as complete HTTP responses), silent?on=1 (runs requests and
+   whole ones, as complete HTTP responses; with &break=1 their connection
+   breaks there), silent?on=1 (runs requests and
    doesn't respond), stats. A request may ask for another number of events
    (?events=N) or for a slower response (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
@@ -41,6 +42,7 @@
     bool fail;
     bool silent;
     uint64_t cut_after;
+    bool cut_breaks;
     uint64_t runs;
     uint64_t streams;          /* in progress */
     uint64_t streams_cut;      /* whose connection ended first */
@@ -56,8 +58,10 @@
 struct stream {
     struct worker *worker;
     uint64_t next; /* id of the last event that was made */
-    uint64_t end;  /* id of the last event; 0: the stream is being cut */
+    uint64_t end;  /* id of the last event */
     uint64_t cut_after;
+    bool cut_breaks;
+    bool cutting; /* the event is the last one, and not whole */
     bool finished;
     char id[NAME_BYTES]; /* the request's Attempt-Id */
     char event[EVENT_BYTES * 2];
@@ -103,26 +107,21 @@
     if (stream->offset == stream->length) {
         bool cut = stream->cut_after != 0 && stream->next >= stream->cut_after;
 
-        if (!make_event(stream)) {
+        if (stream->cutting && stream->cut_breaks) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        if (stream->cutting || !make_event(stream)) {
             stream->finished = true;
             return MHD_CONTENT_READER_END_OF_STREAM;
         }
         if (cut) {
             stream->length /= 2;
-            stream->end = 0;
+            stream->cutting = true;
         }
     }
-    if (stream->end == 0 && stream->offset == stream->length) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
     count = MIN(max, stream->length - stream->offset);
     memcpy(out, stream->event + stream->offset, count);
     stream->offset += count;
-    if (stream->end == 0 && stream->offset == stream->length) {
-        stream->length = 0;
-        stream->offset = 0;
-        stream->next = 0;
-    }
     return (ssize_t)count;
 }
 
@@ -216,6 +215,7 @@
     g_strlcpy(stream->id, header_or_dash(request, "Attempt-Id"),
               sizeof(stream->id));
     stream->cut_after = worker->cut_after;
+    stream->cut_breaks = worker->cut_breaks;
     worker->streams++;
     response->content_type = "text/event-stream";
     response->read = read_stream;
@@ -322,6 +322,7 @@
     }
     else if (strcmp(command, "cut") == 0) {
         worker->cut_after = fake_query_number(request, "after", 0);
+        worker->cut_breaks = fake_query_number(request, "break", 0) != 0;
     }
     else {
         expire_reservation(worker);
--- a/tests/faults/bad_input.sh
+++ b/tests/faults/bad_input.sh
@@ -31,10 +31,9 @@
 expect_error unknown-model 404 -d '{"model":"x","prompt":"x"}' "$complete"
 expect_error unknown-path 404 "$ENTRY/nothing"
 expect_error wrong-method 405 "$complete"
-for limit in -1 0 1.5 abc 99999999999 ''; do
-    [ -n "$limit" ] || limit=' 5'
+for limit in -1 0 1.5 abc 99999999999 x5 '5 5'; do
     expect_error "limit" 400 -d @"$WORK/good" \
-        -H "X-Time-Limit-Ms: x$limit" "$complete"
+        -H "X-Time-Limit-Ms: $limit" "$complete"
 done
 expect_error limit-zero 400 -d @"$WORK/good" -H "X-Time-Limit-Ms: 0" \
     "$complete"
--- a/tests/faults/gateway_retry.sh
+++ b/tests/faults/gateway_retry.sh
@@ -47,7 +47,9 @@
     "$(grep -c '^data: event' "$WORK/body")" 3
 expect "whole events before the second end" "$(grep -c '^$' "$WORK/body")" 3
 worker_control 4 'cut?after=0'
-for n in 1 2 3; do
+# So it does when the connection to the worker breaks there.
+for n in 1 2 3 4 5 6; do
+    [ "$n" -lt 4 ] || worker_control 3 'cut?after=3&break=1'
     if call "$GATEWAY" /stream/x -d prompt -H 'Token-Usage: 1000,400' \
         >"$WORK/status"; then
         expect "events of the resumed stream" \
--- a/tests/faults/no_resend.sh
+++ b/tests/faults/no_resend.sh
@@ -1,4 +1,4 @@
-# The HTTP library neon resends a request by itself when a persistent
+# A client resends a request by itself when a persistent
 # connection turns out to be closed. If a service runs an unsafe request and
 # then closes the connection, it must get the request only once, also after
 # successful requests.
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -14,7 +14,13 @@
 #include "io/loop.h"
 
 enum {
-    READ_BYTES = 4096
+    READ_BYTES = 4096,
+    IDLE_TIMEOUT_MS = 300,
+    SEND_INTERVAL_MS = 20,
+    MAX_SENDS = 200,               /* then the test client gives up */
+    LARGE_BYTES = 8 * 1024 * 1024, /* more than the kernel keeps */
+    READ_INTERVAL_MS = 100,
+    SLOW_READ_BYTES = 160 * 1024,
 };
 
 struct fixture {
@@ -30,6 +36,10 @@
     uint32_t aborted;
     uint32_t ended;
     const char *expected; /* text that stops the loop; NULL: none */
+    /* The test client sends so many bytes at a time. */
+    struct loop_timer *send_timer;
+    size_t send_bytes;
+    uint32_t sends;
 };
 
 static const char response_head[] = "HTTP/1.1 200 OK\r\n";
@@ -391,6 +401,119 @@
     destroy_fixture(fixture);
 }
 
+static void
+on_send_timer(void *data, uint64_t now_ms)
+{
+    struct fixture *fixture = data;
+    char bytes[READ_BYTES];
+
+    if (fixture->closed || fixture->sends == MAX_SENDS) {
+        loop_stop(fixture->loop);
+        return;
+    }
+    memset(bytes, 'x', sizeof(bytes));
+    fixture->sends++;
+    send(fixture->fd, bytes, fixture->send_bytes, MSG_NOSIGNAL);
+    loop_timer_arm(fixture->send_timer, now_ms + SEND_INTERVAL_MS);
+}
+
+/* Sends a body in parts, for longer than the idle timeout, and runs the loop
+   until the request is complete or the expected text was received. */
+static void
+send_body_slowly(struct fixture *fixture, size_t bytes_at_once,
+                 const char *head, const char *expected)
+{
+    const struct catalog_limits limits = {.max_head_bytes = READ_BYTES,
+                                          .max_body_bytes = LARGE_BYTES,
+                                          .head_timeout_ms = IDLE_TIMEOUT_MS,
+                                          .idle_timeout_ms = IDLE_TIMEOUT_MS};
+
+    callers_set_limits(fixture->callers, &limits);
+    reconnect(fixture);
+    send_text(fixture, head);
+    fixture->send_bytes = bytes_at_once;
+    fixture->sends = 0;
+    fixture->send_timer =
+        loop_timer_create(fixture->loop, on_send_timer, fixture);
+    loop_timer_arm(fixture->send_timer, loop_now_ms(fixture->loop));
+    while (strstr(fixture->received->str, expected) == NULL &&
+           fixture->requests == 0 && fixture->sends < MAX_SENDS) {
+        run_until(fixture, expected);
+    }
+    loop_timer_destroy(fixture->send_timer);
+}
+
+/* A caller that sends a byte now and then gets an answer and is disconnected;
+   one that is slow, but does send its body, is served. */
+static void
+test_slow_bodies(void)
+{
+    struct fixture *fixture = create_fixture();
+
+    send_body_slowly(fixture, 1,
+                     "POST / HTTP/1.1\r\nHost: a\r\n"
+                     "Content-Length: 1000\r\n\r\n",
+                     "HTTP/1.1 408");
+    g_assert_nonnull(strstr(fixture->received->str, "HTTP/1.1 408"));
+    g_assert_cmpuint(fixture->requests, ==, 0);
+    send_body_slowly(fixture, 1024,
+                     "POST / HTTP/1.1\r\nHost: a\r\n"
+                     "Content-Length: 40960\r\n\r\n",
+                     "HTTP/1.1");
+    g_assert_cmpuint(fixture->requests, ==, 1);
+    g_assert_cmpuint(fixture->body->len, ==, 40960);
+    destroy_fixture(fixture);
+}
+
+static void
+on_slow_read_timer(void *data, uint64_t now_ms)
+{
+    struct fixture *fixture = data;
+    char *bytes = g_malloc(SLOW_READ_BYTES);
+    ssize_t count = recv(fixture->fd, bytes, SLOW_READ_BYTES, MSG_DONTWAIT);
+
+    if (count > 0) {
+        g_string_append_len(fixture->received, bytes, count);
+    }
+    g_free(bytes);
+    if (count == 0) {
+        loop_stop(fixture->loop);
+        return;
+    }
+    loop_timer_arm(fixture->send_timer, now_ms + READ_INTERVAL_MS);
+}
+
+/* A caller that reads slowly gets all that was queued for it before its
+   connection is closed, however long it takes in all. */
+static void
+test_slow_reader(void)
+{
+    struct fixture *fixture = create_fixture();
+    char *bytes = g_malloc(LARGE_BYTES);
+    int buffer_bytes = SLOW_READ_BYTES;
+
+    memset(bytes, 'x', LARGE_BYTES);
+    setsockopt(fixture->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+               sizeof(buffer_bytes));
+    send_text(fixture, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_until(fixture, NULL);
+    loop_unwatch(fixture->loop, fixture->fd);
+    begin_stream(fixture);
+    caller_stream_chunk(fixture->caller, bytes, LARGE_BYTES);
+    caller_stream_end(fixture->caller, false);
+    fixture->send_timer =
+        loop_timer_create(fixture->loop, on_slow_read_timer, fixture);
+    loop_timer_arm(fixture->send_timer, loop_now_ms(fixture->loop));
+    loop_run(fixture->loop);
+    loop_timer_destroy(fixture->send_timer);
+    g_assert_cmpuint(fixture->received->len, >, LARGE_BYTES);
+    g_assert_false(g_str_has_suffix(fixture->received->str, "\r\n0\r\n\r\n"));
+    g_assert_true(g_str_has_suffix(fixture->received->str, "x\r\n"));
+    fixture->closed = true;
+    g_free(bytes);
+    destroy_fixture(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -408,5 +531,7 @@
     g_test_add_func("/callers/limits", test_limits);
     g_test_add_func("/callers/bad-bytes", test_bad_bytes);
     g_test_add_func("/callers/two-lengths", test_two_body_lengths_are_refused);
+    g_test_add_func("/callers/slow-bodies", test_slow_bodies);
+    g_test_add_func("/callers/slow-reader", test_slow_reader);
     return g_test_run();
 }
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -153,6 +153,35 @@
     g_ptr_array_free(errors, TRUE);
 }
 
+/* A route with the request's model goes before one for any model, in whatever
+   order the table has them. */
+static void
+test_route_with_model(void)
+{
+    static const char routes[] = "[any]\n"
+                                 "paths = /v1/completions\n"
+                                 "pool = savjetnik\n"
+                                 "class = prompt\n"
+                                 "[assist]\n"
+                                 "paths = /v1/completions\n"
+                                 "model = savjetnik\n"
+                                 "pool = savjetnik\n"
+                                 "class = prompt\n";
+    GPtrArray *errors = g_ptr_array_new_with_free_func(g_free);
+    struct config *config = config_create_from_tables(
+        1, routes, "routes.ini", valid_pools, "pools.ini", errors);
+
+    g_assert_nonnull(config);
+    g_assert_cmpstr(config_route(config, "/v1/completions", "savjetnik")->name,
+                    ==, "assist");
+    g_assert_cmpstr(config_route(config, "/v1/completions", "other")->name, ==,
+                    "any");
+    g_assert_cmpstr(config_route(config, "/v1/completions", NULL)->name, ==,
+                    "any");
+    config_destroy(config);
+    g_ptr_array_free(errors, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -161,5 +190,6 @@
     g_test_add_func("/config/errors", test_errors);
     g_test_add_func("/config/all-errors-at-once", test_all_errors_at_once);
     g_test_add_func("/config/head", test_head);
+    g_test_add_func("/config/route-with-model", test_route_with_model);
     return g_test_run();
 }
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -16,6 +16,8 @@
     READ_BYTES = 4096,
     LARGE_BYTES = 512 * 1024,
     STATUS_OK = 200,
+    DRIP_PAUSE_US = 100 * 1000,
+    MAX_DRIPS = 60, /* then the caller gives up: the server has no bound */
 };
 
 struct fixture {
@@ -25,6 +27,8 @@
     const char *request; /* sent by the caller */
     size_t chunk_bytes;  /* of the stream */
     bool complete;       /* how the stream ends */
+    const char *drip;    /* sent after it, again and again; NULL: none */
+    uint32_t drips;      /* that were sent */
     bool read_late;      /* the caller reads when the exchange has ended */
     GString *received;
     char *target; /* of the request, as the handlers see it */
@@ -71,6 +75,11 @@
     g_assert_cmpint(
         send(fd, fixture.request, strlen(fixture.request), MSG_NOSIGNAL), >,
         0);
+    while (fixture.drip != NULL && fixture.drips < MAX_DRIPS &&
+           send(fd, fixture.drip, strlen(fixture.drip), MSG_NOSIGNAL) > 0) {
+        usleep(DRIP_PAUSE_US);
+        fixture.drips++;
+    }
     if (fixture.read_late) {
         wait_until_closed();
     }
@@ -281,6 +290,30 @@
     clear();
 }
 
+/* A caller that sends a byte now and then is disconnected, wherever it is in
+   its request, although it is never silent for long. */
+static void
+test_dripping_request(void)
+{
+    static const char *const beginnings[] = {
+        "GET /", "GET / HTTP/1.1\r\nHost: a\r\nX-Long: ",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"};
+    struct front_settings impatient = settings;
+
+    impatient.idle_s = 1;
+    fixture.read_late = false;
+    fixture.drip = "x";
+    for (size_t i = 0; i < G_N_ELEMENTS(beginnings); i++) {
+        fixture.request = beginnings[i];
+        fixture.drips = 0;
+        run_request(&impatient);
+        g_assert_cmpuint(fixture.requests, ==, 0);
+        g_assert_cmpuint(fixture.drips, <, MAX_DRIPS);
+        clear();
+    }
+    fixture.drip = NULL;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -291,5 +324,6 @@
     g_test_add_func("/front/complete-stream", test_complete_stream);
     g_test_add_func("/front/target-as-sent", test_target_as_sent);
     g_test_add_func("/front/chunked-body-refused", test_chunked_body_refused);
+    g_test_add_func("/front/dripping-request", test_dripping_request);
     return g_test_run();
 }
--- a/tests/unit/test_gateway_core.c
+++ b/tests/unit/test_gateway_core.c
@@ -18,7 +18,7 @@
 parse_text(struct event_stream *stream, const char *text, GByteArray *events)
 {
     return event_stream_parse(stream, (const uint8_t *)text, strlen(text),
-                              events);
+                              events) == EVENT_STREAM_OK;
 }
 
 static void
@@ -59,6 +59,56 @@
     event_stream_destroy(stream);
 }
 
+/* Events are found wherever the bytes are split. */
+static void
+test_events_in_parts(void)
+{
+    static const char text[] = "id: 1\r\ndata: a\r\n\r\n\n: note\n\nid: 7\n\n";
+
+    for (size_t part = 1; part <= strlen(text); part++) {
+        struct event_stream *stream = event_stream_create();
+        GByteArray *events = g_byte_array_new();
+
+        for (size_t i = 0; i < strlen(text); i += part) {
+            g_assert_cmpint(
+                event_stream_parse(stream, (const uint8_t *)text + i,
+                                   MIN(part, strlen(text) - i), events),
+                ==, EVENT_STREAM_OK);
+        }
+        g_assert_cmpmem(events->data, events->len, text, strlen(text));
+        g_assert_cmpstr(event_stream_last_id(stream), ==, "7");
+        g_byte_array_unref(events);
+        event_stream_destroy(stream);
+    }
+}
+
+/* An event without end is neither kept nor read again and again: whatever
+   follows the bound, the events before it are there. */
+static void
+test_endless_event(void)
+{
+    struct event_stream *stream = event_stream_create();
+    GByteArray *events = g_byte_array_new();
+    uint8_t line[1024];
+    size_t received = 0;
+    enum event_stream_result result = EVENT_STREAM_OK;
+
+    memset(line, 'x', sizeof(line));
+    g_assert_true(parse_text(stream, "id: 1\n\nid: 2\ndata: ", events));
+    while (result == EVENT_STREAM_OK) {
+        received += sizeof(line);
+        g_assert_cmpuint(received, <=, EVENT_STREAM_MAX_EVENT_BYTES);
+        result = event_stream_parse(stream, line, sizeof(line), events);
+    }
+    g_assert_cmpint(result, ==, EVENT_STREAM_EVENT_TOO_LONG);
+    g_assert_cmpuint(events->len, ==, strlen("id: 1\n\n"));
+    g_assert_cmpstr(event_stream_last_id(stream), ==, "1");
+    event_stream_discard_partial(stream);
+    g_assert_true(parse_text(stream, "id: 2\n\n", events));
+    g_byte_array_unref(events);
+    event_stream_destroy(stream);
+}
+
 static void
 test_budget_is_shared(void)
 {
@@ -386,6 +436,8 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/events/whole", test_events_are_complete);
     g_test_add_func("/events/another-run", test_events_of_another_run);
+    g_test_add_func("/events/in-parts", test_events_in_parts);
+    g_test_add_func("/events/endless", test_endless_event);
     g_test_add_func("/budget/shared", test_budget_is_shared);
     g_test_add_func("/catalog/routes", test_routes);
     g_test_add_func("/endpoints/registration", test_endpoint_registration);
--- a/tests/unit/test_upstreams.c
+++ b/tests/unit/test_upstreams.c
@@ -201,9 +201,8 @@
 {
     (void)data;
     (void)why;
-    g_string_append(fixture.results, failure == UPSTREAM_MAY_HAVE_RUN
-                                         ? "broken;"
-                                         : "not sent;");
+    g_string_append(fixture.results,
+                    failure == UPSTREAM_NOT_SENT ? "not sent;" : "broken;");
     on_request_ended();
 }
 
