Placement: each gateway has engines of its own in its data centre

Cause: with many gateways that choose from one view of half a second ago, each prefers engines by a hash of its own. The hash gives some engines several gateways that prefer them and others none (three of four start at one engine in tests/placement/many_gateways), and most of them are in other data centres.

Now the engines of a data centre are shared out among its gateways, in an order that all of them know; a gateway prefers its own, then others of its data centre, then remote ones.

The golden file of larger_than_memory names another of two equal engines: the candidates are sorted by id now before ties are drawn.

--- a/core/placement.c
+++ b/core/placement.c
@@ -61,6 +61,10 @@
 static const double overpacking_cost = 0.08; /* per request beyond packing */
 static const double affinity_cost = 0.025;   /* per gateway */
 static const double max_affinity_cost = 0.6;
+/* Least distances of engines that are not the gateway's own, in its data
+   centre and in others; an own engine has 0, the farthest one 1. */
+static const double local_distance = 0.02;
+static const double remote_distance = 0.25;
 static const double sharing_cost = 0.02; /* per request at the engine */
 static const double helper_cost = 0.03;  /* per helper */
 /* Largest share of an engine's KV memory that a whole prompt may take. */
@@ -81,6 +85,8 @@
 struct candidate {
     struct endpoint *endpoint;
     struct endpoint_load load;
+    bool is_local;   /* in the gateway's data centre */
+    double distance; /* in the gateway's order of preference, from 0 to 1 */
     double cost;
 };
 
@@ -145,11 +151,9 @@
     return overpacking_cost * (load->requests - packed + 1);
 }
 
-/* Rendezvous hash in [0, 1) that gives each gateway its own order of preferred
-   engines. Most requests on an engine then come from one gateway, which knows
-   their state without the delay of the peers' reports. */
+/* Rendezvous hash in [0, 1). */
 static double
-affinity_distance(const char *gateway, const char *endpoint)
+hash_distance(const char *gateway, const char *endpoint)
 {
     XXH64_hash_t seed = XXH64(gateway, strlen(gateway), 0);
 
@@ -157,11 +161,69 @@
            (double)(1ULL << 53);
 }
 
+/* Whether the engine at a place of the data centre's order is one of the
+   gateway's own. With at least as many engines as gateways each engine belongs
+   to one gateway, so that its load is known there without delay. */
 static bool
-is_local(const struct placement_request *request,
-         const struct endpoint *endpoint)
+is_own_engine(const struct placement_request *request, uint32_t index,
+              uint32_t engines)
 {
-    return strcmp(endpoint->data_centre, request->data_centre) == 0;
+    uint64_t gateways = request->local_gateways;
+
+    if (engines >= gateways) {
+        return index * gateways / engines == request->local_rank;
+    }
+    return request->local_rank * (uint64_t)engines / gateways == index;
+}
+
+static gint
+compare_ids(gconstpointer a, gconstpointer b)
+{
+    const struct candidate *first = a;
+    const struct candidate *second = b;
+
+    return strcmp(first->endpoint->id, second->endpoint->id);
+}
+
+/* Gives the gateway its order of preferred engines: its own first, then others
+   of its data centre, then those of other ones. Most requests on an engine
+   then come from one gateway, which knows their state without the delay of the
+   peers' reports. */
+static void
+set_distances(const struct placement_request *request, GArray *candidates)
+{
+    uint32_t local = 0;
+    uint32_t index = 0;
+
+    g_array_sort(candidates, compare_ids);
+    for (guint i = 0; i < candidates->len; i++) {
+        struct candidate *candidate =
+            &g_array_index(candidates, struct candidate, i);
+
+        candidate->is_local = strcmp(candidate->endpoint->data_centre,
+                                     request->data_centre) == 0;
+        local += candidate->is_local ? 1 : 0;
+    }
+    for (guint i = 0; i < candidates->len; i++) {
+        struct candidate *candidate =
+            &g_array_index(candidates, struct candidate, i);
+        double hash = hash_distance(request->gateway, candidate->endpoint->id);
+
+        if (request->local_gateways == 0) {
+            candidate->distance = hash;
+        }
+        else if (!candidate->is_local) {
+            candidate->distance =
+                remote_distance + (1.0 - remote_distance) * hash;
+        }
+        else if (is_own_engine(request, index++, local)) {
+            candidate->distance = 0.0;
+        }
+        else {
+            candidate->distance =
+                local_distance + (remote_distance - local_distance) * hash;
+        }
+    }
 }
 
 /* Cost that a prompt imposes on other requests at an engine that prefills it
@@ -177,11 +239,11 @@
     cost += load->prefill_ms * backlog_cost_per_ms *
             (request->gap_class == 0 ? 1.0 : large_gap_backlog_share);
     cost += packing_cost(request, load);
-    if (!is_local(request, candidate->endpoint)) {
+    if (!candidate->is_local) {
         cost += remote_cost;
     }
     cost += MIN(affinity_cost * request->gateway_count, max_affinity_cost) *
-            affinity_distance(request->gateway, candidate->endpoint->id);
+            candidate->distance;
     if (load->requests >= request->service->engine.slots) {
         cost += no_slot_cost *
                 (load->requests - request->service->engine.slots + 1);
@@ -376,8 +438,7 @@
 }
 
 static void
-choose_plain(const struct placement_request *request, GArray *candidates,
-             GRand *random, struct placement *placement)
+choose_plain(GArray *candidates, GRand *random, struct placement *placement)
 {
     for (guint i = 0; i < candidates->len; i++) {
         struct candidate *candidate =
@@ -385,7 +446,7 @@
 
         candidate->cost =
             candidate->load.requests * plain_call_ms + g_rand_double(random);
-        if (!is_local(request, candidate->endpoint)) {
+        if (!candidate->is_local) {
             candidate->cost += plain_remote_ms;
         }
     }
@@ -409,6 +470,7 @@
         endpoint_load(candidate.endpoint, now_ms, &candidate.load);
         g_array_append_val(list, candidate);
     }
+    set_distances(request, list);
     if (list->len > 0) {
         if (request->service->has_engine && request->prompt_tokens > 0) {
             choose_engines(request, list, random, placement);
@@ -416,7 +478,7 @@
                 deferral_ms(request, list, placement->first_event_ms);
         }
         else {
-            choose_plain(request, list, random, placement);
+            choose_plain(list, random, placement);
         }
     }
     g_array_free(list, TRUE);
--- a/core/placement.h
+++ b/core/placement.h
@@ -28,6 +28,10 @@
     const char *gateway;     /* instance of the gateway that places it */
     uint32_t gateway_count;  /* this one included; at least 1 */
     const char *data_centre; /* of the gateway */
+    /* The gateway's place among those of its data centre, in an order that all
+       of them know, from 0, and their number; 0: not known. */
+    uint32_t local_rank;
+    uint32_t local_gateways;
     uint64_t prompt_tokens;  /* 0: a plain call */
     uint64_t output_tokens;  /* upper bound */
     /* Time left until the route's target for the first event. */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -199,12 +199,15 @@
     const struct catalog_route *route = forward->admitted.route;
     const struct catalog_service *service = forward->admitted.service;
     uint64_t elapsed_ms = forward_now_ms(forward) - forward->started_ms;
+    uint32_t local_gateways;
 
     *request = (struct placement_request){
         .service = service,
         .gateway = forward->forwarder->settings.instance,
         .gateway_count = peers_count(forward->forwarder->deps.peers),
         .data_centre = forward->forwarder->settings.data_centre,
+        .local_rank = peers_local_rank(forward->forwarder->deps.peers,
+                                       &local_gateways),
         .prompt_tokens = forward->metadata.prompt_tokens,
         .output_tokens = forward->metadata.max_output_tokens,
         .first_event_target_ms =
@@ -212,6 +215,7 @@
                        MIN(elapsed_ms, route->first_event_target_ms)),
         .gap_class = catalog_gap_class(service, route->gap_target_ms),
         .value = placement_prompt_value(forward->metadata.prompt_tokens)};
+    request->local_gateways = local_gateways;
 }
 
 /* Places the request at endpoints that it has not been sent to yet. */
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -43,6 +43,7 @@
 struct peer {
     struct peers *peers;
     char *address; /* "ip:port" */
+    bool is_local; /* in this gateway's data centre, by its last hello */
     struct link *link;
     uint64_t received_ms;
     bool listed;
@@ -74,6 +75,8 @@
     uint64_t load_sent_ms;
     uint64_t snapshot_asked_ms; /* last request for a snapshot */
     uint32_t gateway_count;
+    uint32_t local_count; /* gateways of this data centre */
+    uint32_t local_rank;
     uint32_t follower_rank; /* for following the store */
     uint64_t confirmed_ms;  /* newest confirmation by a peer; 0: none */
     uint64_t heartbeats;
@@ -149,6 +152,33 @@
     link_send(peer->link, &message);
 }
 
+static void
+update_local_rank(struct peers *peers)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    peers->local_count = 1;
+    peers->local_rank = 0;
+    g_hash_table_iter_init(&iter, peers->by_address);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct peer *peer = value;
+
+        if (peer->is_local) {
+            peers->local_count++;
+            peers->local_rank +=
+                strcmp(peer->address, peers->own_address) < 0 ? 1 : 0;
+        }
+    }
+}
+
+uint32_t
+peers_local_rank(const struct peers *peers, uint32_t *count)
+{
+    *count = peers->local_count;
+    return peers->local_rank;
+}
+
 static void
 on_peer_up(void *data, struct link *link, const struct message *hello)
 {
@@ -157,6 +187,9 @@
     (void)link;
     LOG_INFO("link up", "peer=%s address=%s", hello->instance, peer->address);
     peer->received_ms = loop_now_ms(peer->peers->loop);
+    peer->is_local =
+        strcmp(hello->data_centre, peer->peers->identity->data_centre) == 0;
+    update_local_rank(peer->peers);
     request_state(peer);
     peers_load_changed(peer->peers);
 }
@@ -373,6 +406,7 @@
     g_hash_table_foreach_remove(peers->by_address, is_unlisted, NULL);
     peers->gateway_count = g_hash_table_size(peers->by_address) + 1;
     update_followers(peers, addresses);
+    update_local_rank(peers);
     g_ptr_array_free(addresses, TRUE);
 }
 
@@ -596,6 +630,7 @@
     peers->heartbeat_timer =
         loop_timer_create(loop, on_heartbeat_timer, peers);
     peers->gateway_count = 1;
+    peers->local_count = 1;
     peers->list_timer = loop_timer_create(loop, on_list_timer, peers);
     peers->load_timer = loop_timer_create(loop, on_load_timer, peers);
     if (!loop_watch(loop, fd, EPOLLIN, on_connection, peers)) {
--- a/gateway/peers.h
+++ b/gateway/peers.h
@@ -51,4 +51,8 @@
 /* The number of gateways, including this one; at least 1. */
 uint32_t peers_count(const struct peers *peers);
 
+/* Place of this gateway, from 0, among the gateways of its data centre in the
+   order of their addresses. Sets *count to their number, this one included. */
+uint32_t peers_local_rank(const struct peers *peers, uint32_t *count);
+
 #endif
--- a/tests/placement_runner.c
+++ b/tests/placement_runner.c
@@ -13,8 +13,9 @@
                                engine
      gateways NAME COUNT       places later prompts as gateway NAME, one of
                                COUNT
-     reading ENGINE MS         adds MS of other gateways' queued prefill at the
-                               engine; MS may be negative
+     local RANK COUNT          the gateway has this rank among COUNT of its
+   data centre reading ENGINE MS         adds MS of other gateways' queued
+   prefill at the engine; MS may be negative
 
    Lines that begin with # are comments. */
 
@@ -59,6 +60,8 @@
     uint64_t now_ms;
     char *gateway;
     uint32_t gateways;
+    uint32_t local_rank;
+    uint32_t local_gateways;
 };
 
 static void
@@ -191,6 +194,8 @@
         .gateway = runner->gateway,
         .gateway_count = runner->gateways,
         .data_centre = "here",
+        .local_rank = runner->local_rank,
+        .local_gateways = runner->local_gateways,
         .prompt_tokens = tokens,
         .output_tokens = OUTPUT_TOKENS,
         .first_event_target_ms = class->first_event_target_ms,
@@ -292,6 +297,11 @@
         runner->gateway = g_strdup(words[1]);
         runner->gateways = (uint32_t)g_ascii_strtoull(words[2], NULL, 10);
     }
+    else if (strcmp(words[0], "local") == 0 && count == 3) {
+        runner->local_rank = (uint32_t)g_ascii_strtoull(words[1], NULL, 10);
+        runner->local_gateways =
+            (uint32_t)g_ascii_strtoull(words[2], NULL, 10);
+    }
     else if (strcmp(words[0], "read") == 0 && count == 2) {
         mark_prefilled(runner, words[1]);
     }
