Revert "Followers: one for 20 gateways, asked half as often"

Not traced to its end: with five followers, of which two are asked at a time, a gateway that is cut off from two of them and from the store knows of a change later than with twelve.

--- a/core/followers.c
+++ b/core/followers.c
@@ -11,7 +11,7 @@
     MIN_FOLLOWERS = 4,
     /* Keeps the number of requests to each follower constant as the number of
        gateways grows. */
-    GATEWAYS_PER_FOLLOWER = 20,
+    GATEWAYS_PER_FOLLOWER = 8,
     MAX_ASKED = 4, /* followers that each gateway asks */
     /* A change must be in force within two seconds, the shortest time that the
        users require. This age, the largest stagger, one timer tick and a call
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -47,8 +47,7 @@
     struct link *link;
     uint64_t received_ms;
     bool listed;
-    bool is_source; /* polled for the store's changes */
-    uint32_t phase; /* spreads the requests to peers over the heartbeats */
+    bool is_source; /* polled for the store's changes at each heartbeat */
 };
 
 /* A link that another gateway opened to this one. */
@@ -359,13 +358,11 @@
     g_hash_table_iter_init(&iter, peers->by_address);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct peer *peer = value;
-        guint index = g_str_hash(peer->address);
 
         /* Without a list of gateways all seeds are polled. */
-        peer->is_source = g_ptr_array_find_with_equal_func(
-                              sources, peer->address, g_str_equal, &index) ||
-                          addresses->len == 0;
-        peer->phase = index;
+        peer->is_source = addresses->len == 0 ||
+                          g_ptr_array_find_with_equal_func(
+                              sources, peer->address, g_str_equal, NULL);
     }
     g_ptr_array_free(sources, TRUE);
 }
@@ -553,14 +550,11 @@
 }
 
 /* Heartbeats per state request. Peers that aren't sources of the store's
-   changes are polled less often the more gateways there are. With many, half
-   of the sources are polled at each heartbeat. */
+   changes are polled less often the more gateways there are. */
 static uint64_t
 request_period(const struct peer *peer)
 {
-    uint64_t factor = interval_factor(peer->peers);
-
-    return peer->is_source ? MIN(factor, 2) : factor;
+    return peer->is_source ? 1 : interval_factor(peer->peers);
 }
 
 /* Opens lost links again, polls the peers, and closes links that have timed
@@ -584,8 +578,7 @@
             link_close(peer->link, "silent");
         }
         else if (link_is_up(peer->link) &&
-                 (peers->heartbeats + peer->phase) % request_period(peer) ==
-                     0) {
+                 peers->heartbeats % request_period(peer) == 0) {
             request_state(peer);
         }
     }
--- a/tests/unit/test_followers.c
+++ b/tests/unit/test_followers.c
@@ -11,8 +11,8 @@
        must be in force within two seconds. */
     ALL_FOLLOW_AGE_MS = 2000,
     /* Twice the mean number of gateways that ask one follower: each of 430
-       gateways asks 4 of 21 followers, two of them at a time. */
-    MAX_ASKING = 164,
+       gateways asks 4 of 53 followers. */
+    MAX_ASKING = 65,
 };
 
 static char names[GATEWAYS][16];
@@ -57,8 +57,8 @@
     g_assert_cmpuint(count_followers(1), ==, 1);
     g_assert_cmpuint(count_followers(4), ==, 4);
     g_assert_cmpuint(count_followers(23), ==, 4);
-    g_assert_cmpuint(count_followers(100), ==, 5);
-    g_assert_cmpuint(count_followers(GATEWAYS), ==, 21);
+    g_assert_cmpuint(count_followers(100), ==, 12);
+    g_assert_cmpuint(count_followers(GATEWAYS), ==, 53);
 }
 
 /* Each gateway asks a few followers and never itself, and no follower is asked
