Placement: what engines say of their own load counts at once

Its own word in each response (Server-Load) was not read.

Ruled out: a wrong engine model (short prompts alone are rejected on waves).

Now requests that the engine reports beyond what the gateways have told, or its slots when it rejects one, are added to its load and fade within 500 ms.

Also: entry/slow_callers is a module of its own, out of entry/front.c; the set-up of test_http_call stands once.

--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -22,6 +22,8 @@
     bool matches_request;  /* it answers the request that was sent */
     bool not_executed;     /* the endpoint has not run the request and won't */
     uint32_t keep_alive_s; /* idle timeout of the connection; 0: not given */
+    bool has_load;
+    uint32_t load_requests; /* running and waiting at the endpoint */
     /* Address of the endpoint that failed, if another endpoint sent this
        response; NULL: not given. Borrowed from the response head. */
     const char *failed_address;
--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -12,6 +12,8 @@
     /* Consecutive failures before an endpoint is left out: single failures
        happen at healthy endpoints too. */
     TOLERATED_FAILURES = 1,
+    /* Within it the peers' reports tell what the endpoint said itself. */
+    UNSEEN_MS = 500,
 };
 
 /* An engine prefills one prompt after the other. The current prefill runs at
@@ -331,8 +333,9 @@
     }
 }
 
-void
-endpoint_load(const struct endpoint *endpoint, uint64_t now_ms,
+/* Load that gateways have reported. */
+static void
+gateways_load(const struct endpoint *endpoint, uint64_t now_ms,
               struct endpoint_load *load)
 {
     endpoint_own_load(endpoint, now_ms, load);
@@ -345,6 +348,32 @@
     }
 }
 
+void
+endpoint_record_reported(struct endpoint *endpoint, uint32_t requests,
+                         uint64_t now_ms)
+{
+    struct endpoint_load load;
+
+    gateways_load(endpoint, now_ms, &load);
+    endpoint->unseen_requests = requests - MIN(load.requests, requests);
+    endpoint->unseen_ms = now_ms;
+}
+
+void
+endpoint_load(const struct endpoint *endpoint, uint64_t now_ms,
+              struct endpoint_load *load)
+{
+    uint64_t age_ms = now_ms - endpoint->unseen_ms;
+
+    gateways_load(endpoint, now_ms, load);
+    if (endpoint->unseen_requests > 0 && age_ms < UNSEEN_MS) {
+        load->requests +=
+            (uint32_t)((endpoint->unseen_requests * (UNSEEN_MS - age_ms) +
+                        UNSEEN_MS - 1) /
+                       UNSEEN_MS);
+    }
+}
+
 void
 endpoint_record_failure(struct endpoint *endpoint, uint64_t now_ms)
 {
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -61,6 +61,10 @@
     /* When a prefill that this gateway placed here last ended. */
     uint64_t last_prefill_end_ms;
     struct endpoint_load peer_load; /* sum of what the peers report */
+    /* Requests that the endpoint reported itself and that were neither this
+       gateway's nor in the peers' reports, and when. */
+    uint32_t unseen_requests;
+    uint64_t unseen_ms;
     uint32_t consecutive_failures;
     uint64_t avoid_until_ms; /* no new requests before; 0: no limit */
     guint references;
@@ -117,6 +121,12 @@
 /* Load that this gateway has placed there. */
 void endpoint_own_load(const struct endpoint *endpoint, uint64_t now_ms,
                        struct endpoint_load *load);
+/* Records the number of requests, running and waiting, that the endpoint itself
+   reports. Those that no gateway has reported yet count until the peers'
+   reports must have come, the less the later. */
+void endpoint_record_reported(struct endpoint *endpoint, uint32_t requests,
+                              uint64_t now_ms);
+
 /* Load that all gateways have placed there, as far as reported. */
 void endpoint_load(const struct endpoint *endpoint, uint64_t now_ms,
                    struct endpoint_load *load);
--- a/entry/front.c
+++ b/entry/front.c
@@ -8,11 +8,11 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/outcome.h"
 #include "entry/error_body.h"
+#include "entry/slow_callers.h"
 #include "io/log.h"
 #include "io/loop.h"
 
@@ -23,10 +23,6 @@
     CONNECTION_MEMORY_BYTES = 32 * 1024,
     MAX_RUNS_PER_ITERATION = 8, /* then other events of the loop are handled */
     BODY_RETRY_AFTER_MS = 1000,
-    /* Least mean rate of a body, beyond the idle timeout: a slow one may take
-       long, one that sends a byte now and then ends. */
-    MIN_BODY_BYTES_PER_S = 1024,
-    SWEEP_INTERVAL_MS = 500,
     MS_PER_S = 1000,
     LISTEN_BACKLOG = 4096,
 };
@@ -38,20 +34,12 @@
     void *data;
     struct MHD_Daemon *daemon;
     struct loop_timer *timer;
-    struct loop_timer *sweep_timer;
-    GHashTable *clients; /* struct client, as a set */
+    struct slow_callers *slow_callers;
     bool run_posted;
     uint64_t body_memory_used; /* bytes, of all exchanges */
     uint32_t open_exchanges;
 };
 
-/* An open connection of a caller. */
-struct client {
-    int fd;
-    uint64_t reading_since_ms; /* 0: no request is being read */
-    uint64_t body_bytes;       /* of the request that is being read */
-};
-
 enum exchange_state {
     EXCHANGE_READING,      /* the request is not complete yet */
     EXCHANGE_WAITING,      /* the response has not begun */
@@ -70,7 +58,7 @@
 struct exchange {
     struct front *front;
     struct MHD_Connection *connection;
-    struct client *client;
+    struct slow_caller *caller;
     enum exchange_state state;
     bool suspended;
     bool response_queued; /* passed to libmicrohttpd */
@@ -386,8 +374,8 @@
     return true;
 }
 
-static struct client *
-find_client(struct MHD_Connection *connection)
+static struct slow_caller *
+find_caller(struct MHD_Connection *connection)
 {
     const union MHD_ConnectionInfo *info = MHD_get_connection_info(
         connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
@@ -395,13 +383,6 @@
     return info->socket_context;
 }
 
-static void
-begin_reading(struct client *client, const struct front *front)
-{
-    client->reading_since_ms = loop_now_ms(front->loop);
-    client->body_bytes = 0;
-}
-
 static void
 on_connection(void *data, struct MHD_Connection *connection, void **context,
               enum MHD_ConnectionNotificationCode code)
@@ -410,41 +391,12 @@
     const union MHD_ConnectionInfo *info;
 
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-        g_hash_table_remove(front->clients, *context);
+        slow_callers_remove(front->slow_callers, *context);
         return;
     }
     info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    *context = g_new0(struct client, 1);
-    ((struct client *)*context)->fd = info->connect_fd;
-    begin_reading(*context, front);
-    g_hash_table_add(front->clients, *context);
-}
-
-/* libmicrohttpd's timeout is one of silence: a caller could send a byte now
-   and then for ever. */
-static void
-on_sweep_timer(void *data, uint64_t now_ms)
-{
-    struct front *front = data;
-    GHashTableIter iter;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, front->clients);
-    while (g_hash_table_iter_next(&iter, &value, NULL)) {
-        const struct client *client = value;
-        uint64_t due_ms = client->reading_since_ms +
-                          (uint64_t)front->settings.idle_s * MS_PER_S +
-                          client->body_bytes * MS_PER_S / MIN_BODY_BYTES_PER_S;
-
-        if (client->reading_since_ms != 0 && now_ms > due_ms) {
-            LOG_INFO("a caller sends its request too slowly",
-                     "body_bytes=%" G_GUINT64_FORMAT, client->body_bytes);
-            /* libmicrohttpd sees the connection end. */
-            shutdown(client->fd, SHUT_RDWR);
-        }
-    }
-    loop_timer_arm(front->sweep_timer, now_ms + SWEEP_INTERVAL_MS);
+    *context = slow_callers_add(front->slow_callers, info->connect_fd);
 }
 
 /* libmicrohttpd calls this with the target as received, before it splits and
@@ -458,8 +410,8 @@
     exchange->front = data;
     exchange->connection = connection;
     exchange->target = g_strdup(target);
-    exchange->client = find_client(connection);
-    begin_reading(exchange->client, exchange->front);
+    exchange->caller = find_caller(connection);
+    slow_caller_expect(exchange->caller, loop_now_ms(exchange->front->loop));
     exchange->front->open_exchanges++;
     exchange->body = g_byte_array_new();
     exchange->headers =
@@ -515,7 +467,7 @@
         return MHD_YES;
     }
     g_byte_array_append(exchange->body, (const guint8 *)bytes, (guint)count);
-    exchange->client->body_bytes = exchange->body->len;
+    slow_caller_set_body(exchange->caller, exchange->body->len);
     return MHD_YES;
 }
 
@@ -528,7 +480,7 @@
         return queue_response(exchange);
     }
     exchange->state = EXCHANGE_WAITING;
-    exchange->client->reading_since_ms = 0;
+    slow_caller_complete(exchange->caller);
     watch_disconnect(exchange);
     front->handlers.request(front->data, exchange);
     if (exchange->state == EXCHANGE_WAITING) {
@@ -590,7 +542,7 @@
         return;
     }
     *exchange_slot = NULL;
-    begin_reading(exchange->client, front);
+    slow_caller_expect(exchange->caller, loop_now_ms(front->loop));
     front->open_exchanges--;
     if (exchange->state != EXCHANGE_READING && !exchange->refused) {
         front->handlers.closed(front->data, exchange);
@@ -683,8 +635,7 @@
 free_front(struct front *front)
 {
     loop_timer_destroy(front->timer);
-    loop_timer_destroy(front->sweep_timer);
-    g_hash_table_destroy(front->clients);
+    slow_callers_destroy(front->slow_callers);
     g_free(front);
 }
 
@@ -700,8 +651,8 @@
     front->handlers = *handlers;
     front->data = data;
     front->timer = loop_timer_create(loop, on_timer, front);
-    front->sweep_timer = loop_timer_create(loop, on_sweep_timer, front);
-    front->clients = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+    front->slow_callers =
+        slow_callers_create(loop, (uint64_t)settings->idle_s * MS_PER_S);
     front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
         goto fail;
@@ -712,7 +663,6 @@
         MHD_stop_daemon(front->daemon);
         goto fail;
     }
-    loop_timer_arm(front->sweep_timer, loop_now_ms(loop) + SWEEP_INTERVAL_MS);
     return front;
 fail:
     free_front(front);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/catalog.h"
+#include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "gateway/callers.h"
 #include "gateway/directory.h"
@@ -159,6 +160,23 @@
     }
 }
 
+/* An endpoint that has rejected the request is full, whatever it reports. */
+static void
+record_load(const struct forward *forward,
+            const struct response_metadata *metadata, uint32_t status)
+{
+    struct endpoint *endpoint = forward->assignment.placement.engines[0];
+    uint32_t requests = metadata->has_load ? metadata->load_requests : 0;
+    bool full = metadata->not_executed && status == STATUS_UNAVAILABLE;
+
+    if (full) {
+        requests = MAX(requests, endpoint->slots);
+    }
+    if (full || metadata->has_load) {
+        endpoint_record_reported(endpoint, requests, forward_now_ms(forward));
+    }
+}
+
 static void
 on_head(void *data, const struct http_head *head)
 {
@@ -172,6 +190,7 @@
                             "answer to another request");
         return;
     }
+    record_load(forward, &metadata, head->status);
     if (metadata.not_executed) {
         forward_end_attempt(forward, ATTEMPT_REJECTED,
                             "refused by the endpoint");
--- a/tests/placement_runner.c
+++ b/tests/placement_runner.c
@@ -14,8 +14,10 @@
      gateways NAME COUNT       places later prompts as gateway NAME, one of
                                COUNT
      local RANK COUNT          the gateway has this rank among COUNT of its
-   data centre reading ENGINE MS         adds MS of other gateways' queued
-   prefill at the engine; MS may be negative
+                               data centre
+     says ENGINE COUNT         the engine reports COUNT requests itself
+     reading ENGINE MS         adds MS of other gateways' queued prefill at the
+                               engine; MS may be negative
 
    Lines that begin with # are comments. */
 
@@ -297,6 +299,11 @@
         runner->gateway = g_strdup(words[1]);
         runner->gateways = (uint32_t)g_ascii_strtoull(words[2], NULL, 10);
     }
+    else if (strcmp(words[0], "says") == 0 && count == 3) {
+        endpoint_record_reported(
+            endpoints_find(runner->endpoints, words[1]),
+            (uint32_t)g_ascii_strtoull(words[2], NULL, 10), runner->now_ms);
+    }
     else if (strcmp(words[0], "local") == 0 && count == 3) {
         runner->local_rank = (uint32_t)g_ascii_strtoull(words[1], NULL, 10);
         runner->local_gateways =
--- a/tests/unit/test_http_call.c
+++ b/tests/unit/test_http_call.c
@@ -137,6 +137,27 @@
     close(server->listener);
 }
 
+/* Starts the server and creates a session to it, with one time for all its
+   timeouts. */
+static struct http_session *
+open_session(struct server *server, const struct script *script, bool reuse,
+             uint32_t timeout_s)
+{
+    struct http_session *session;
+
+    start_server(server, script);
+    session = http_session_create("127.0.0.1", server->port, reuse);
+    http_session_set_timeouts(session, timeout_s, timeout_s, timeout_s);
+    return session;
+}
+
+static void
+close_session(struct server *server, struct http_session *session)
+{
+    http_session_destroy(session);
+    stop_server(server);
+}
+
 static char last_error[MAX_BYTES];
 
 /* Makes a call, with an id if it isn't NULL, and returns its status, or 0 with
@@ -196,14 +217,11 @@
         struct http_session *session;
         enum http_error code = HTTP_ERROR_NOT_SENT;
 
-        start_server(&server, &scripts[i]);
-        session = http_session_create("127.0.0.1", server.port, true);
-        http_session_set_timeouts(session, 1, 1, 1);
+        session = open_session(&server, &scripts[i], true, 1);
         g_assert_cmpuint(call(session, &code), ==, 0);
         g_assert_cmpint(code, ==, HTTP_ERROR_NO_RESPONSE);
         g_assert_true(g_str_has_suffix(last_error, bounds[i]));
-        http_session_destroy(session);
-        stop_server(&server);
+        close_session(&server, session);
     }
 }
 
@@ -216,13 +234,10 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, true);
-    http_session_set_timeouts(session, 60, 60, 60);
+    session = open_session(&server, &script, true, 60);
     g_assert_cmpuint(call(session, &code), ==, 0);
     g_assert_cmpint(code, ==, HTTP_ERROR_RESPONSE_TOO_LONG);
-    http_session_destroy(session);
-    stop_server(&server);
+    close_session(&server, session);
 }
 
 /* The server closes a kept connection when the second request arrives. Only a
@@ -235,13 +250,10 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, true);
-    http_session_set_timeouts(session, 60, 60, 60);
+    session = open_session(&server, &script, true, 60);
     g_assert_cmpuint(call(session, &code), ==, STATUS_OK);
     g_assert_cmpuint(call(session, &code), ==, STATUS_OK);
-    http_session_destroy(session);
-    stop_server(&server);
+    close_session(&server, session);
     g_assert_cmpuint(server.requests, ==, 2);
 }
 
@@ -253,14 +265,11 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, false);
-    http_session_set_timeouts(session, 5, 5, 5);
+    session = open_session(&server, &script, false, 5);
     g_assert_cmpuint(call(session, &code), ==, 0);
     g_assert_cmpint(code, ==, HTTP_ERROR_NO_RESPONSE);
     g_assert_true(g_str_has_suffix(last_error, "closed by the peer"));
-    http_session_destroy(session);
-    stop_server(&server);
+    close_session(&server, session);
     g_assert_cmpuint(server.requests, ==, 1);
 }
 
@@ -274,15 +283,12 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, true);
-    http_session_set_timeouts(session, 3600, 3600, 3600);
+    session = open_session(&server, &script, true, 3600);
     g_assert_cmpuint(call(session, &code), ==, STATUS_OK);
     http_session_set_timeouts(session, 1, 1, 1);
     g_assert_cmpuint(call(session, &code), ==, 0);
     g_assert_cmpint(code, ==, HTTP_ERROR_NO_RESPONSE);
-    http_session_destroy(session);
-    stop_server(&server);
+    close_session(&server, session);
 }
 
 /* A late copy of a response arrives on the connection in place of the next
@@ -302,15 +308,12 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, true);
-    http_session_set_timeouts(session, 60, 60, 60);
+    session = open_session(&server, &script, true, 60);
     g_assert_cmpuint(call_with_id(session, "1", &code), ==, STATUS_OK);
     g_assert_cmpuint(call_with_id(session, "2", &code), ==, 0);
     g_assert_cmpint(code, ==, HTTP_ERROR_NO_RESPONSE);
     g_assert_true(g_str_has_suffix(last_error, "answer to another request"));
-    http_session_destroy(session);
-    stop_server(&server);
+    close_session(&server, session);
     g_assert_cmpuint(server.requests, ==, 2);
 }
 
@@ -324,9 +327,7 @@
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
 
-    start_server(&server, &script);
-    session = http_session_create("127.0.0.1", server.port, true);
-    http_session_set_timeouts(session, 60, 60, 60);
+    session = open_session(&server, &script, true, 60);
     g_assert_cmpuint(call_with_id(session, "1", &code), ==, STATUS_OK);
     g_assert_cmpuint(call_with_id(session, "2", &code), ==, STATUS_OK);
     http_session_destroy(session);
--- a/tests/unit/test_numbers.c
+++ b/tests/unit/test_numbers.c
@@ -311,6 +311,31 @@
     expect_usage("", 0, 0);
 }
 
+/* Returns the number of requests in an endpoint's report, -1 if it has none
+   that can be read. */
+static int64_t
+decode_load(const char *text)
+{
+    const struct http_header header = {"Server-Load", text};
+    const struct http_head head = {
+        .status = 200, .headers = &header, .header_count = 1};
+    struct response_metadata response;
+
+    platform_http_decode_response(&head, NULL, &response);
+    return response.has_load ? (int64_t)response.load_requests : -1;
+}
+
+static void
+test_endpoint_load(void)
+{
+    g_assert_cmpint(decode_load("3,2,8"), ==, 5);
+    g_assert_cmpint(decode_load("0,0,8"), ==, 0);
+    g_assert_cmpint(decode_load("3"), ==, -1);
+    g_assert_cmpint(decode_load("-3,2,8"), ==, -1);
+    g_assert_cmpint(decode_load("many,2,8"), ==, -1);
+    g_assert_cmpint(decode_load("1e30,1e30,8"), ==, UINT32_MAX);
+}
+
 static uint32_t
 decode_keep_alive_s(const char *text)
 {
@@ -348,6 +373,7 @@
     g_test_add_func("/numbers/endpoint-slots", test_endpoint_slots);
     g_test_add_func("/numbers/time-left", test_time_left);
     g_test_add_func("/numbers/usage", test_usage);
+    g_test_add_func("/numbers/endpoint-load", test_endpoint_load);
     g_test_add_func("/numbers/keep-alive", test_keep_alive);
     return g_test_run();
 }
