--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -121,9 +121,9 @@
 /* Load that this gateway has placed there. */
 void endpoint_own_load(const struct endpoint *endpoint, uint64_t now_ms,
                        struct endpoint_load *load);
-/* Records the number of requests, running and waiting, that the endpoint itself
-   reports. Those that no gateway has reported yet count until the peers'
-   reports must have come, the less the later. */
+/* Records the number of requests, running and waiting, that the endpoint
+   itself reports. Those that no gateway has reported yet count until the
+   peers' reports must have come, the less the later. */
 void endpoint_record_reported(struct endpoint *endpoint, uint32_t requests,
                               uint64_t now_ms);
 
--- a/core/placement.h
+++ b/core/placement.h
@@ -32,8 +32,8 @@
        of them know, from 0, and their number; 0: not known. */
     uint32_t local_rank;
     uint32_t local_gateways;
-    uint64_t prompt_tokens;  /* 0: a plain call */
-    uint64_t output_tokens;  /* upper bound */
+    uint64_t prompt_tokens; /* 0: a plain call */
+    uint64_t output_tokens; /* upper bound */
     /* Time left until the route's target for the first event. */
     uint32_t first_event_target_ms;
     uint32_t gap_class; /* from catalog_gap_class() */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -206,8 +206,8 @@
         .gateway = forward->forwarder->settings.instance,
         .gateway_count = peers_count(forward->forwarder->deps.peers),
         .data_centre = forward->forwarder->settings.data_centre,
-        .local_rank = peers_local_rank(forward->forwarder->deps.peers,
-                                       &local_gateways),
+        .local_rank =
+            peers_local_rank(forward->forwarder->deps.peers, &local_gateways),
         .prompt_tokens = forward->metadata.prompt_tokens,
         .output_tokens = forward->metadata.max_output_tokens,
         .first_event_target_ms =
