Connections: the count of closing ones is written by one thread alone

Cause: http_connection_destroy() wrote the count, if only with the same value, also from the threads of blocking calls. Shown: the 26 tests under the thread sanitizer pass.

--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -65,7 +65,8 @@
     struct loop_timer *deferred_timer;
 };
 
-/* Connections of this process that are closing. */
+/* Connections of this process that are closing. Only the thread that calls
+   http_connection_close() uses it. */
 static uint32_t closing_count;
 
 static void update_events(struct http_connection *conn);
@@ -126,7 +127,9 @@
     }
     close_socket(conn);
     conn->destroyed = true;
-    closing_count -= conn->closing ? 1 : 0;
+    if (conn->closing) {
+        closing_count--;
+    }
     /* A handler of this connection may call this, so it is freed later. */
     loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
 }
