Holds: memory that no request uses is left to expire

Ruled out: a lost release (the request was still in progress), a renewal that crossed one.

Now holds are renewed for 5 s, and after the first event for as long as it takes; unused ones have expired after 8.6 s. If the engine begins later it rejects the prompt, which then goes on as after any rejection.

--- a/gateway/assignment.c
+++ b/gateway/assignment.c
@@ -40,6 +40,7 @@
     bool changed = false;
 
     if (!work->prefilled) {
+        hold_group_mark_used(assignment->holds);
         for (uint32_t i = 0; i < assignment->placement.count; i++) {
             endpoint_work_prefilled(assignment->placement.engines[i],
                                     &assignment->works[i], now_ms);
--- a/gateway/holds.c
+++ b/gateway/holds.c
@@ -18,6 +18,9 @@
     HOLD_TTL_MS = 3600,
     /* Three renewals per TTL, so that two may be lost. */
     RENEW_INTERVAL_MS = 1200,
+    /* Memory must not stay set aside for nine seconds without a request that
+       uses it. A hold that is no longer renewed still lasts for its TTL. */
+    MAX_UNUSED_MS = 5000,
     /* Less than the interval, so that a renewal whose response hangs is sent
        again on another connection. */
     ANSWER_TIMEOUT_MS = 1000,
@@ -44,6 +47,7 @@
     struct hold_request requests[PLACEMENT_MAX_ENGINES];
     uint32_t count;
     struct loop_timer *renew_timer;
+    uint64_t renew_until_ms; /* UINT64_MAX: the memory is in use */
     struct holds_handlers handlers;
     void *data;
     bool reported;
@@ -167,12 +171,19 @@
     g_byte_array_unref(bytes);
 }
 
-/* A renewal still in progress is not sent again; the next one is due soon. */
+/* A renewal still in progress is not sent again; the next one is due soon. The
+   holds of a prompt that its engine doesn't begin are left to expire: if it
+   does begin later, the engine rejects it. */
 static void
 on_renew_timer(void *data, uint64_t now_ms)
 {
     struct hold_group *group = data;
 
+    if (now_ms > group->renew_until_ms) {
+        LOG_INFO("holds expire, no request has used them", "hold=%s",
+                 group->id);
+        return;
+    }
     for (uint32_t i = 0; i < group->count; i++) {
         if (group->requests[i].upstream == NULL) {
             send_reserve(group, &group->requests[i]);
@@ -196,6 +207,7 @@
     group->handlers = *handlers;
     group->data = data;
     group->renew_timer = loop_timer_create(holds->loop, on_renew_timer, group);
+    group->renew_until_ms = loop_now_ms(holds->loop) + MAX_UNUSED_MS;
     for (uint32_t i = 0; i < count; i++) {
         group->requests[i].group = group;
         group->requests[i].endpoint = endpoint_ref(endpoints[i]);
@@ -206,6 +218,15 @@
     return group;
 }
 
+void
+hold_group_mark_used(struct hold_group *group)
+{
+    if (group != NULL && group->renew_until_ms != UINT64_MAX) {
+        group->renew_until_ms = UINT64_MAX;
+        loop_timer_arm(group->renew_timer, loop_now_ms(group->holds->loop));
+    }
+}
+
 const char *
 hold_group_id(const struct hold_group *group)
 {
--- a/gateway/holds.h
+++ b/gateway/holds.h
@@ -37,6 +37,10 @@
                                  const struct holds_handlers *handlers,
                                  void *data);
 
+/* The request has begun to use the memory; NULL is allowed. Holds that no
+   request uses are renewed for 5 s only, and then expire. */
+void hold_group_mark_used(struct hold_group *group);
+
 /* The id that all holds of the group share, owned by the group. */
 const char *hold_group_id(const struct hold_group *group);
 
--- a/tests/faults/gateway_memory.sh
+++ b/tests/faults/gateway_memory.sh
@@ -60,6 +60,25 @@
     worker_control $n 'memory?tokens=1000000'
 done
 
+# The holds of a prompt that its engine doesn't begin expire, although the
+# request goes on.
+for n in 3 4 5; do
+    worker_control $n 'silent?on=1'
+done
+start_request unused -H 'Host: a.example' -H 'Attempt-Id: 80' \
+    -H 'Deadline-Ms: 60000' "${large[@]}" "$GATEWAY/stream/x"
+wait_until something_held
+# They expire by their time, however patient a run is otherwise.
+MAX_TRIES=1000 wait_until nothing_held
+wait_log gateway-1 'holds expire, no request has used them'
+grep -q 'request ended id=80 ' "$WORK/gateway-1.log" &&
+    fail "the request with unused holds has ended"
+for n in 3 4 5; do
+    worker_control $n 'silent?on=0'
+done
+reap unused || true
+wait_until nothing_held
+
 # The holds of a killed gateway expire without a release.
 for n in 3 4 5; do
     worker_control $n 'silent?on=1'
