--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -15,6 +15,9 @@
     uint32_t time_left_ms;      /* how long the caller will wait */
     uint64_t prompt_tokens;     /* 0: not given */
     uint64_t max_output_tokens; /* 0: not given */
+    /* Ids of the prompt's parts that other requests may share, in order;
+       NULL-terminated, empty if there are none. */
+    char **shared_parts;
 };
 
 /* Metadata of an endpoint's response, decoded from its headers. */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -145,18 +145,31 @@
     }
 }
 
+/* parts: the shared parts of the prompt; answered: whether the caller has got
+   events of it. */
+static void
+log_attempt(const struct forward *forward, enum attempt_result result,
+            const char *why)
+{
+    char *parts = g_strjoinv(",", forward->metadata.shared_parts);
+
+    LOG_INFO("attempt ended",
+             "id=%s endpoint=%s why=\"%s\" sends=%u may_have_run=%d "
+             "answered=%d parts=%s ms=%" G_GUINT64_FORMAT,
+             forward_id(forward), forward->assignment.placement.engines[0]->id,
+             why, forward->attempts, result == ATTEMPT_MAY_HAVE_RUN,
+             forward->head_sent, parts[0] != '\0' ? parts : "-",
+             forward_now_ms(forward) - forward->started_ms);
+    g_free(parts);
+}
+
 void
 forward_end_attempt(struct forward *forward, enum attempt_result result,
                     const char *why)
 {
     struct endpoint *endpoint = forward->assignment.placement.engines[0];
 
-    LOG_INFO("attempt ended",
-             "id=%s endpoint=%s why=\"%s\" sends=%u may_have_run=%d "
-             "ms=%" G_GUINT64_FORMAT,
-             forward_id(forward), endpoint->id, why, forward->attempts,
-             result == ATTEMPT_MAY_HAVE_RUN,
-             forward_now_ms(forward) - forward->started_ms);
+    log_attempt(forward, result, why);
     upstream_cancel(forward->upstream);
     forward->upstream = NULL;
     if (result == ATTEMPT_NOT_SENT) {
--- a/gateway/gateway_counters.c
+++ b/gateway/gateway_counters.c
@@ -18,6 +18,7 @@
     [COUNT_RETRY_BUDGET_EMPTY] = "budget_empty_total",
     [COUNT_RESUMED] = "resumed_total",
     [COUNT_ENDLESS] = "endless_total",
+    [COUNT_BROKEN_UNANSWERED] = "broken_unanswered_total",
 };
 
 /* Least prompt length of each band, in tokens. Band 0 is for requests without
--- a/gateway/gateway_counters.h
+++ b/gateway/gateway_counters.h
@@ -21,6 +21,7 @@
     COUNT_RETRY_BUDGET_EMPTY, /* retries that the retry budget refused */
     COUNT_RESUMED,            /* retries of streams whose head was sent */
     COUNT_ENDLESS,            /* responses beyond a bound of head or event */
+    COUNT_BROKEN_UNANSWERED,  /* attempts that broke before the first event */
     GATEWAY_COUNTER_COUNT,
 };
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -342,6 +342,9 @@
     if (failure == UPSTREAM_ENDLESS) {
         gateway_counters_count(COUNT_ENDLESS);
     }
+    if (failure == UPSTREAM_MAY_HAVE_RUN && !forward->head_sent) {
+        gateway_counters_count(COUNT_BROKEN_UNANSWERED);
+    }
     forward_end_attempt(forward,
                         failure == UPSTREAM_NOT_SENT ? ATTEMPT_NOT_SENT
                                                      : ATTEMPT_MAY_HAVE_RUN,
--- a/tests/unit/test_numbers.c
+++ b/tests/unit/test_numbers.c
@@ -361,6 +361,38 @@
     g_assert_cmpuint(decode_keep_alive_s("timeout=soon"), ==, 0);
 }
 
+struct parts_case {
+    const char *text;
+    const char *shared; /* joined by '+' */
+};
+
+/* The last part of a prompt is the request's own. Ids go into logs and keys,
+   so other texts are left out. */
+static void
+test_shared_parts(void)
+{
+    static const struct parts_case cases[] = {
+        {"5c1e07a2:800,91bd3f06:410,e4402b7d:250", "5c1e07a2+91bd3f06"},
+        {" 5c1e:800 , 91bd , e4:250", "5c1e+91bd"},
+        {"e4402b7d:250", ""},
+        {"5c1e:1,x y:2,\"q\":3,:4,91bd/:5,e4:6", "5c1e"},
+        {",,,", ""},
+        {"", ""},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct request_metadata request;
+        char *shared;
+
+        g_test_message("parts \"%s\"", cases[i].text);
+        decode_header("Prompt-Prefix", cases[i].text, &request);
+        shared = g_strjoinv("+", request.shared_parts);
+        g_assert_cmpstr(shared, ==, cases[i].shared);
+        g_free(shared);
+        platform_http_request_clear(&request);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -375,5 +407,6 @@
     g_test_add_func("/numbers/usage", test_usage);
     g_test_add_func("/numbers/endpoint-load", test_endpoint_load);
     g_test_add_func("/numbers/keep-alive", test_keep_alive);
+    g_test_add_func("/numbers/shared-parts", test_shared_parts);
     return g_test_run();
 }
