--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -7,7 +7,9 @@
    be reserved), cut?after=N (streams end in the middle of the event after N
    whole ones, as complete HTTP responses; with &break=1 their connection
    breaks there), silent?on=1 (runs requests and
-   doesn't respond), stats. A request may ask for another number of events
+   doesn't respond), crash?part=ID (the process exits when it begins the
+   stream of a request with that part in its Prompt-Prefix), stats. A request
+   may ask for another number of events
    (?events=N) or for a slower response (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
@@ -43,6 +45,7 @@
     bool silent;
     uint64_t cut_after;
     bool cut_breaks;
+    char crash_part[NAME_BYTES]; /* with the colon; empty: none */
     uint64_t runs;
     uint64_t streams;          /* in progress */
     uint64_t streams_cut;      /* whose connection ended first */
@@ -62,6 +65,7 @@
     uint64_t cut_after;
     bool cut_breaks;
     bool cutting; /* the event is the last one, and not whole */
+    bool crashes;
     bool finished;
     char id[NAME_BYTES]; /* the request's Attempt-Id */
     char event[EVENT_BYTES * 2];
@@ -104,6 +108,10 @@
     size_t count;
 
     (void)position;
+    if (stream->crashes) {
+        print_line("crashed %s\n", stream->id);
+        _exit(1);
+    }
     if (stream->offset == stream->length) {
         bool cut = stream->cut_after != 0 && stream->next >= stream->cut_after;
 
@@ -216,6 +224,9 @@
               sizeof(stream->id));
     stream->cut_after = worker->cut_after;
     stream->cut_breaks = worker->cut_breaks;
+    stream->crashes = worker->crash_part[0] != '\0' &&
+                      strstr(header_or_dash(request, "Prompt-Prefix"),
+                             worker->crash_part) != NULL;
     worker->streams++;
     response->content_type = "text/event-stream";
     response->read = read_stream;
@@ -320,6 +331,11 @@
     else if (strcmp(command, "memory") == 0) {
         worker->memory_tokens = fake_query_number(request, "tokens", 0);
     }
+    else if (strcmp(command, "crash") == 0) {
+        g_snprintf(worker->crash_part, sizeof(worker->crash_part), "%s:",
+                   MHD_lookup_connection_value(request->connection,
+                                               MHD_GET_ARGUMENT_KIND, "part"));
+    }
     else if (strcmp(command, "cut") == 0) {
         worker->cut_after = fake_query_number(request, "after", 0);
         worker->cut_breaks = fake_query_number(request, "break", 0) != 0;
