Gateway: prompt parts that crash endpoints are refused

Callers of all accounts had their streams broken off, as one engine after the other ended: 14 of 23 within 1.5 s.

Cause: a request whose prompt part crashes the engine that begins to write on it was placed like any other, and once more after the crash. Nothing of what it had done was kept beyond the one request, at any gateway. The class of fault: a request that kills its server is tried at the next one (a query of death). Ruled out: ends of the engines' own (no plan, no fault of theirs in the operator's log; at each of 32 ends a request without an event), resumed streams (at 22 ends first attempts alone).

Each gateway reports to the store which parts an engine left unanswered when it crashed: a connection broke before the first event, and a new one is refused. Parts that get events are announced after two crashes, so that those which sound prompts share are not refused.

--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,553 @@
+#include "core/quarantine.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/crash_report.h"
+
+enum {
+    /* Endpoints that crash within this time may have a common cause that is no
+       request, such as a power failure, and count as one crash. */
+    SAME_TIME_MS = 100,
+    /* Reports of one endpoint this close to each other are of one crash: it
+       takes longer to start again and to crash again. */
+    SAME_CRASH_MS = 1000,
+    /* A part that got an event this recently is not reported for a crash. */
+    RECENTLY_SERVED_MS = 2000,
+    /* Crashes after which a contradiction is announced. It has to come before
+       the part is put under quarantine. */
+    CONTRADICTED_CRASHES = QUARANTINE_CRASHES - 1,
+    MAX_CRASHES = 256,
+    MAX_SERVED = 4096, /* entries above which old ones are removed */
+};
+
+/* A part that was at a crash. */
+struct suspicion {
+    struct part *part;
+    uint64_t revision; /* the lowest of the reports */
+    uint64_t added_ms;
+};
+
+struct crash {
+    char *endpoint;
+    uint64_t crashed_ms;
+    uint64_t added_ms;
+    GArray *suspicions; /* struct suspicion */
+    bool explained;     /* by a part under quarantine */
+};
+
+/* A part that was at a crash that still counts. */
+struct part {
+    char *id;
+    uint32_t depth;           /* place in the prompt, from 0 */
+    uint64_t served_revision; /* of the last announcement; 0: none */
+    uint64_t served_ms;       /* last event at this gateway; 0: none */
+    bool announced;           /* returned by quarantine_contradicted() */
+    bool quarantined;
+    uint64_t until_ms; /* end of the quarantine */
+    /* Crashes that count for the part, in the order of crashed_ms: by the
+       announcements, and by this gateway's own events as well. */
+    GPtrArray *announced_crashes;
+    GPtrArray *crashes;
+};
+
+struct quarantine {
+    uint32_t period_ms;
+    GPtrArray *crashes; /* struct crash, in the order of added_ms */
+    GHashTable *parts;  /* id to struct part */
+    GHashTable *served; /* id to time of the last event */
+    uint64_t purged_ms; /* when old entries of served were removed */
+    bool changed;       /* since the last update */
+    uint32_t count;     /* of parts under quarantine */
+};
+
+static void
+free_part(gpointer data)
+{
+    struct part *part = data;
+
+    g_ptr_array_free(part->announced_crashes, TRUE);
+    g_ptr_array_free(part->crashes, TRUE);
+    g_free(part->id);
+    g_free(part);
+}
+
+static void
+free_crash(gpointer data)
+{
+    struct crash *crash = data;
+
+    g_array_free(crash->suspicions, TRUE);
+    g_free(crash->endpoint);
+    g_free(crash);
+}
+
+struct quarantine *
+quarantine_create(uint32_t period_ms)
+{
+    struct quarantine *quarantine = g_new0(struct quarantine, 1);
+
+    quarantine->period_ms = period_ms;
+    quarantine->crashes = g_ptr_array_new_with_free_func(free_crash);
+    quarantine->parts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_part);
+    quarantine->served =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return quarantine;
+}
+
+void
+quarantine_destroy(struct quarantine *quarantine)
+{
+    if (quarantine == NULL) {
+        return;
+    }
+    g_ptr_array_free(quarantine->crashes, TRUE);
+    g_hash_table_destroy(quarantine->parts);
+    g_hash_table_destroy(quarantine->served);
+    g_free(quarantine);
+}
+
+/* Reports. */
+
+static uint64_t
+distance_ms(uint64_t a_ms, uint64_t b_ms)
+{
+    return a_ms > b_ms ? a_ms - b_ms : b_ms - a_ms;
+}
+
+static struct crash *
+find_crash(const struct quarantine *quarantine,
+           const struct crash_report *report, uint64_t now_ms)
+{
+    for (guint i = quarantine->crashes->len; i > 0; i--) {
+        struct crash *crash = g_ptr_array_index(quarantine->crashes, i - 1);
+
+        if (strcmp(crash->endpoint, report->endpoint) == 0 &&
+            (distance_ms(crash->crashed_ms, report->crashed_ms) <=
+                 SAME_CRASH_MS ||
+             now_ms - crash->added_ms <= SAME_CRASH_MS)) {
+            return crash;
+        }
+    }
+    return NULL;
+}
+
+static struct crash *
+add_crash(struct quarantine *quarantine, const struct crash_report *report,
+          uint64_t now_ms)
+{
+    struct crash *crash = g_new0(struct crash, 1);
+
+    if (quarantine->crashes->len >= MAX_CRASHES) {
+        g_ptr_array_remove_index(quarantine->crashes, 0);
+    }
+    crash->endpoint = g_strdup(report->endpoint);
+    crash->crashed_ms = report->crashed_ms;
+    crash->added_ms = now_ms;
+    crash->suspicions = g_array_new(FALSE, FALSE, sizeof(struct suspicion));
+    g_ptr_array_add(quarantine->crashes, crash);
+    return crash;
+}
+
+static struct part *
+find_or_add_part(struct quarantine *quarantine,
+                 const struct crash_report_part *reported)
+{
+    struct part *part = g_hash_table_lookup(quarantine->parts, reported->id);
+
+    if (part == NULL) {
+        part = g_new0(struct part, 1);
+        part->id = g_strdup(reported->id);
+        part->announced_crashes = g_ptr_array_new();
+        part->crashes = g_ptr_array_new();
+        g_hash_table_insert(quarantine->parts, part->id, part);
+    }
+    part->depth = MAX(part->depth, reported->depth);
+    return part;
+}
+
+static void
+add_suspicion(struct crash *crash, struct part *part, uint64_t revision,
+              uint64_t now_ms)
+{
+    struct suspicion added = {
+        .part = part, .revision = revision, .added_ms = now_ms};
+
+    for (guint i = 0; i < crash->suspicions->len; i++) {
+        struct suspicion *suspicion =
+            &g_array_index(crash->suspicions, struct suspicion, i);
+
+        if (suspicion->part == part) {
+            suspicion->revision = MIN(suspicion->revision, revision);
+            return;
+        }
+    }
+    g_array_append_val(crash->suspicions, added);
+}
+
+void
+quarantine_add_report(struct quarantine *quarantine,
+                      const struct crash_report *report, uint64_t revision,
+                      uint64_t now_ms)
+{
+    struct crash *crash = find_crash(quarantine, report, now_ms);
+
+    if (quarantine->period_ms == 0) {
+        return;
+    }
+    if (crash == NULL) {
+        crash = add_crash(quarantine, report, now_ms);
+    }
+    for (guint i = 0; i < report->parts->len; i++) {
+        add_suspicion(
+            crash,
+            find_or_add_part(
+                quarantine,
+                &g_array_index(report->parts, struct crash_report_part, i)),
+            revision, now_ms);
+    }
+    quarantine->changed = true;
+}
+
+/* Events. */
+
+void
+quarantine_add_served(struct quarantine *quarantine, const char *id,
+                      uint64_t revision)
+{
+    struct part *part = g_hash_table_lookup(quarantine->parts, id);
+
+    if (part != NULL && revision > part->served_revision) {
+        part->served_revision = revision;
+        part->announced = false;
+        quarantine->changed = true;
+    }
+}
+
+static gboolean
+is_old(gpointer key, gpointer value, gpointer data)
+{
+    const uint64_t *served_ms = value;
+    const uint64_t *now_ms = data;
+
+    (void)key;
+    return *served_ms + RECENTLY_SERVED_MS < *now_ms;
+}
+
+static void
+record_part_served(struct quarantine *quarantine, const char *id,
+                   uint64_t now_ms)
+{
+    uint64_t *served_ms = g_hash_table_lookup(quarantine->served, id);
+    struct part *part = g_hash_table_lookup(quarantine->parts, id);
+
+    if (served_ms == NULL) {
+        served_ms = g_new0(uint64_t, 1);
+        g_hash_table_insert(quarantine->served, g_strdup(id), served_ms);
+    }
+    *served_ms = now_ms;
+    if (part != NULL) {
+        part->served_ms = now_ms;
+        quarantine->changed |= part->crashes->len > 0;
+    }
+}
+
+void
+quarantine_record_served(struct quarantine *quarantine, char *const *parts,
+                         uint64_t now_ms)
+{
+    for (; *parts != NULL; parts++) {
+        record_part_served(quarantine, *parts, now_ms);
+    }
+    if (g_hash_table_size(quarantine->served) > MAX_SERVED &&
+        now_ms >= quarantine->purged_ms + RECENTLY_SERVED_MS) {
+        quarantine->purged_ms = now_ms;
+        g_hash_table_foreach_remove(quarantine->served, is_old, &now_ms);
+    }
+}
+
+bool
+quarantine_was_served(const struct quarantine *quarantine, const char *id,
+                      uint64_t now_ms)
+{
+    const uint64_t *served_ms = g_hash_table_lookup(quarantine->served, id);
+
+    return served_ms != NULL && *served_ms + RECENTLY_SERVED_MS >= now_ms;
+}
+
+/* The update: which crashes count for which parts, and which parts are under
+   quarantine. */
+
+static void
+drop_expired(struct quarantine *quarantine, uint64_t now_ms)
+{
+    while (quarantine->crashes->len > 0) {
+        const struct crash *oldest = g_ptr_array_index(quarantine->crashes, 0);
+
+        if (now_ms < oldest->added_ms + quarantine->period_ms) {
+            return;
+        }
+        g_ptr_array_remove_index(quarantine->crashes, 0);
+        quarantine->changed = true;
+    }
+}
+
+static gint
+compare_crashed_ms(gconstpointer a, gconstpointer b)
+{
+    const struct crash *first = *(struct crash *const *)a;
+    const struct crash *second = *(struct crash *const *)b;
+
+    if (first->crashed_ms == second->crashed_ms) {
+        return 0;
+    }
+    return first->crashed_ms < second->crashed_ms ? -1 : 1;
+}
+
+static void
+assign_crash(struct crash *crash)
+{
+    crash->explained = false;
+    for (guint i = 0; i < crash->suspicions->len; i++) {
+        const struct suspicion *suspicion =
+            &g_array_index(crash->suspicions, struct suspicion, i);
+        struct part *part = suspicion->part;
+
+        if (suspicion->revision <= part->served_revision) {
+            continue;
+        }
+        g_ptr_array_add(part->announced_crashes, crash);
+        if (suspicion->added_ms > part->served_ms) {
+            g_ptr_array_add(part->crashes, crash);
+        }
+    }
+}
+
+static gboolean
+has_no_crash(gpointer key, gpointer value, gpointer data)
+{
+    const struct part *part = value;
+    GHashTable *present = data;
+
+    (void)key;
+    return !g_hash_table_contains(present, part);
+}
+
+/* Forgets the parts that are at no crash any more. */
+static void
+drop_unused_parts(struct quarantine *quarantine)
+{
+    GHashTable *present = g_hash_table_new(NULL, NULL);
+
+    for (guint i = 0; i < quarantine->crashes->len; i++) {
+        const struct crash *crash = g_ptr_array_index(quarantine->crashes, i);
+
+        for (guint j = 0; j < crash->suspicions->len; j++) {
+            g_hash_table_add(
+                present,
+                g_array_index(crash->suspicions, struct suspicion, j).part);
+        }
+    }
+    g_hash_table_foreach_remove(quarantine->parts, has_no_crash, present);
+    g_hash_table_destroy(present);
+}
+
+static void
+assign_crashes(struct quarantine *quarantine)
+{
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quarantine->parts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct part *part = value;
+
+        g_ptr_array_set_size(part->announced_crashes, 0);
+        g_ptr_array_set_size(part->crashes, 0);
+        part->quarantined = false;
+    }
+    for (guint i = 0; i < quarantine->crashes->len; i++) {
+        assign_crash(g_ptr_array_index(quarantine->crashes, i));
+    }
+    g_hash_table_iter_init(&iter, quarantine->parts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct part *part = value;
+
+        g_ptr_array_sort(part->announced_crashes, compare_crashed_ms);
+        g_ptr_array_sort(part->crashes, compare_crashed_ms);
+    }
+}
+
+/* Number of the crashes that no part under quarantine explains; those at the
+   same time count as one, and those at which the part except was are left out;
+   NULL: no part. */
+static uint32_t
+count_crashes(const GPtrArray *crashes, const struct part *except)
+{
+    uint32_t count = 0;
+    uint64_t last_ms = 0;
+
+    for (guint i = 0; i < crashes->len; i++) {
+        struct crash *crash = g_ptr_array_index(crashes, i);
+
+        if (crash->explained ||
+            (except != NULL &&
+             g_ptr_array_find(except->crashes, crash, NULL))) {
+            continue;
+        }
+        if (count == 0 || crash->crashed_ms >= last_ms + SAME_TIME_MS) {
+            count++;
+            last_ms = crash->crashed_ms;
+        }
+    }
+    return count;
+}
+
+static bool
+is_better(const struct part *part, uint32_t count, const struct part *best,
+          uint32_t best_count)
+{
+    if (best == NULL || count != best_count) {
+        return best == NULL || count > best_count;
+    }
+    return strcmp(part->id, best->id) < 0;
+}
+
+/* The part that was at most of the crashes that are not explained, and at
+   QUARANTINE_CRASHES or more of them. Among parts deeper than `above` only,
+   which leave less than QUARANTINE_CRASHES of its crashes; NULL: among all. */
+static struct part *
+find_culprit(const struct quarantine *quarantine, const struct part *above)
+{
+    struct part *best = NULL;
+    uint32_t best_count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, quarantine->parts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct part *part = value;
+        uint32_t count = count_crashes(part->crashes, NULL);
+
+        if (part->quarantined || count < QUARANTINE_CRASHES ||
+            !is_better(part, count, best, best_count) ||
+            (above != NULL &&
+             (part->depth <= above->depth ||
+              count_crashes(above->crashes, part) >= QUARANTINE_CRASHES))) {
+            continue;
+        }
+        best = part;
+        best_count = count;
+    }
+    return best;
+}
+
+static gint
+compare_added_ms(gconstpointer a, gconstpointer b)
+{
+    const struct crash *first = *(struct crash *const *)a;
+    const struct crash *second = *(struct crash *const *)b;
+
+    if (first->added_ms == second->added_ms) {
+        return 0;
+    }
+    return first->added_ms < second->added_ms ? -1 : 1;
+}
+
+/* The quarantine ends when too few of the part's crashes still count. */
+static void
+put_under_quarantine(const struct quarantine *quarantine, struct part *part)
+{
+    const struct crash *deciding;
+
+    for (guint i = 0; i < part->crashes->len; i++) {
+        struct crash *crash = g_ptr_array_index(part->crashes, i);
+
+        crash->explained = true;
+    }
+    g_ptr_array_sort(part->crashes, compare_added_ms);
+    deciding = g_ptr_array_index(part->crashes,
+                                 part->crashes->len - QUARANTINE_CRASHES);
+    part->quarantined = true;
+    part->until_ms = deciding->added_ms + quarantine->period_ms;
+}
+
+/* Chooses the fewest parts that explain the crashes. Where a deeper part
+   explains nearly as much, it is chosen: fewer requests have it. */
+static void
+choose_culprits(struct quarantine *quarantine)
+{
+    struct part *part;
+
+    quarantine->count = 0;
+    while ((part = find_culprit(quarantine, NULL)) != NULL) {
+        struct part *deeper = find_culprit(quarantine, part);
+
+        part = deeper != NULL ? deeper : part;
+        put_under_quarantine(quarantine, part);
+        quarantine->count++;
+    }
+}
+
+static void
+update(struct quarantine *quarantine, uint64_t now_ms)
+{
+    drop_expired(quarantine, now_ms);
+    if (!quarantine->changed) {
+        return;
+    }
+    quarantine->changed = false;
+    drop_unused_parts(quarantine);
+    assign_crashes(quarantine);
+    choose_culprits(quarantine);
+}
+
+const char *
+quarantine_find(struct quarantine *quarantine, char *const *parts,
+                uint64_t now_ms, uint32_t *left_ms)
+{
+    update(quarantine, now_ms);
+    for (; quarantine->count > 0 && *parts != NULL; parts++) {
+        const struct part *part =
+            g_hash_table_lookup(quarantine->parts, *parts);
+
+        if (part != NULL && part->quarantined) {
+            *left_ms =
+                (uint32_t)(part->until_ms - MIN(now_ms, part->until_ms));
+            return part->id;
+        }
+    }
+    return NULL;
+}
+
+GPtrArray *
+quarantine_contradicted(struct quarantine *quarantine, uint64_t now_ms)
+{
+    GPtrArray *contradicted = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer value;
+
+    update(quarantine, now_ms);
+    g_hash_table_iter_init(&iter, quarantine->parts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        struct part *part = value;
+
+        /* An own event removes earlier crashes from part->crashes alone. */
+        if (!part->announced &&
+            part->crashes->len < part->announced_crashes->len &&
+            count_crashes(part->announced_crashes, NULL) >=
+                CONTRADICTED_CRASHES) {
+            part->announced = true;
+            g_ptr_array_add(contradicted, g_strdup(part->id));
+        }
+    }
+    return contradicted;
+}
+
+uint32_t
+quarantine_count(struct quarantine *quarantine, uint64_t now_ms)
+{
+    update(quarantine, now_ms);
+    return quarantine->count;
+}
--- /dev/null
+++ b/core/quarantine.h
@@ -0,0 +1,65 @@
+#ifndef CORE_QUARANTINE_H
+#define CORE_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Finds the prompt parts that crash engines, so that requests with them are
+   refused instead of being sent to one engine after the other. Gateways report
+   the parts of the prompts that an engine left without an event when it
+   crashed. A part is put under quarantine if it was there at several crashes,
+   no other part explains these, and no request with it got an event since. Not
+   thread-safe. Times are in milliseconds of one monotonic clock. */
+
+struct crash_report;
+struct quarantine;
+struct _GPtrArray;
+
+enum {
+    /* Crashes at different times after which a part is put under quarantine.
+     */
+    QUARANTINE_CRASHES = 3
+};
+
+/* period_ms: how long a crash counts; 0: no part is put under quarantine. */
+struct quarantine *quarantine_create(uint32_t period_ms);
+void quarantine_destroy(struct quarantine *quarantine);
+
+/* Adds a report of this or another gateway. Reports of one crash by several
+   gateways count as one crash. revision is that of the report in the store, or
+   UINT64_MAX while it is not there; it is added again when it is. */
+void quarantine_add_report(struct quarantine *quarantine,
+                           const struct crash_report *report,
+                           uint64_t revision, uint64_t now_ms);
+
+/* Records that a gateway has announced, at that revision of the store, that
+   requests with the part get events. Earlier reports no longer count for it.
+   */
+void quarantine_add_served(struct quarantine *quarantine, const char *part,
+                           uint64_t revision);
+
+/* Records that this gateway got an event for a request with these parts. */
+void quarantine_record_served(struct quarantine *quarantine,
+                              char *const *parts, uint64_t now_ms);
+
+/* Whether this gateway got an event for a request with the part so recently
+   that the part is not to be reported for a crash. */
+bool quarantine_was_served(const struct quarantine *quarantine,
+                           const char *part, uint64_t now_ms);
+
+/* Returns the first of the parts that is under quarantine and sets *left_ms to
+   the time until it no longer is, if there are no further crashes. Returns
+   NULL if there is none. */
+const char *quarantine_find(struct quarantine *quarantine, char *const *parts,
+                            uint64_t now_ms, uint32_t *left_ms);
+
+/* Returns the parts (char *) that reports suspect and for which this gateway
+   got events since, so that it can announce them. Each is returned once until
+   the announcement comes back. Free with g_ptr_array_free(). */
+struct _GPtrArray *quarantine_contradicted(struct quarantine *quarantine,
+                                           uint64_t now_ms);
+
+/* Number of parts under quarantine. */
+uint32_t quarantine_count(struct quarantine *quarantine, uint64_t now_ms);
+
+#endif
--- /dev/null
+++ b/gateway/crash_monitor.c
@@ -0,0 +1,278 @@
+#include "gateway/crash_monitor.h"
+
+#include <errno.h>
+#include <glib.h>
+
+#include "core/crash_report.h"
+#include "core/endpoints.h"
+#include "core/quarantine.h"
+#include "gateway/upstreams.h"
+#include "io/http_connection.h"
+#include "io/log.h"
+#include "io/loop.h"
+#include "io/store_items.h"
+#include "io/store_writer.h"
+#include "platform/platform_store.h"
+
+#define LOG_PART "crash-monitor"
+
+enum {
+    /* A crash breaks all connections of an endpoint within this time. */
+    CHECK_DELAY_MS = 20,
+    /* Time for an endpoint to accept or refuse the connection of a check. */
+    CHECK_TIMEOUT_MS = 250,
+    US_PER_MS = 1000,
+};
+
+/* A check whether an endpoint has crashed. */
+struct check {
+    struct crash_monitor *monitor;
+    struct endpoint *endpoint;
+    struct crash_report *report;        /* sent if it has */
+    struct http_connection *connection; /* NULL: not begun yet */
+    struct loop_timer *timer;           /* begins the check, then ends it */
+};
+
+struct crash_monitor {
+    struct loop *loop;
+    struct upstreams *upstreams;
+    struct store_writer *writer;
+    struct crash_monitor_settings settings;
+    struct quarantine *quarantine;
+    GHashTable *checks; /* endpoint id to struct check, owned */
+};
+
+static void
+free_check(gpointer data)
+{
+    struct check *check = data;
+
+    http_connection_destroy(check->connection);
+    loop_timer_destroy(check->timer);
+    crash_report_destroy(check->report);
+    endpoint_unref(check->endpoint);
+    g_free(check);
+}
+
+struct crash_monitor *
+crash_monitor_create(struct loop *loop, struct upstreams *upstreams,
+                     struct store_writer *writer,
+                     const struct crash_monitor_settings *settings)
+{
+    struct crash_monitor *monitor = g_new0(struct crash_monitor, 1);
+
+    monitor->loop = loop;
+    monitor->upstreams = upstreams;
+    monitor->writer = writer;
+    monitor->settings = *settings;
+    monitor->quarantine = quarantine_create(settings->period_ms);
+    monitor->checks =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_check);
+    return monitor;
+}
+
+/* Reports. */
+
+static void
+log_count(struct crash_monitor *monitor, uint32_t count_before)
+{
+    uint32_t count = crash_monitor_count(monitor);
+
+    if (count != count_before) {
+        LOG_INFO("prompt parts under quarantine", "count=%u before=%u", count,
+                 count_before);
+    }
+}
+
+static void
+send_report(struct crash_monitor *monitor, const struct crash_report *report)
+{
+    uint32_t count = crash_monitor_count(monitor);
+    GByteArray *bytes = g_byte_array_new();
+    char *key =
+        platform_store_crash_key(report->endpoint, monitor->settings.instance);
+
+    LOG_WARN("endpoint has crashed with requests unanswered",
+             "endpoint=%s parts=%u", report->endpoint, report->parts->len);
+    quarantine_add_report(monitor->quarantine, report, UINT64_MAX,
+                          loop_now_ms(monitor->loop));
+    crash_report_encode(report, bytes);
+    store_writer_put(monitor->writer, key, bytes->data, bytes->len);
+    g_byte_array_unref(bytes);
+    g_free(key);
+    log_count(monitor, count);
+}
+
+/* Checks. */
+
+static void
+finish_check(struct check *check, bool crashed)
+{
+    struct crash_monitor *monitor = check->monitor;
+
+    /* An endpoint that refuses more connections may still serve those that it
+       has. */
+    if (crashed &&
+        !upstreams_is_connected(monitor->upstreams, check->endpoint)) {
+        send_report(monitor, check->report);
+    }
+    g_hash_table_remove(monitor->checks, check->endpoint->id);
+}
+
+static void
+on_check_opened(void *data)
+{
+    finish_check(data, false);
+}
+
+static void
+on_check_ended(void *data, enum http_connection_end end)
+{
+    finish_check(data, end == HTTP_CONNECTION_CONNECT_FAILED);
+}
+
+/* The connection is destroyed when it is open, so that no message arrives. */
+static const struct http_connection_handlers check_handlers = {
+    .opened = on_check_opened,
+    .ended = on_check_ended,
+};
+
+static void
+begin_check(struct check *check)
+{
+    static const struct http_connection_settings settings = {0};
+    struct crash_monitor *monitor = check->monitor;
+
+    check->connection = http_connection_connect(
+        monitor->loop, check->endpoint->ip, check->endpoint->port, &settings,
+        &check_handlers, check);
+    if (check->connection == NULL) {
+        finish_check(check, errno == ECONNREFUSED);
+        return;
+    }
+    loop_timer_arm(check->timer,
+                   loop_now_ms(monitor->loop) + CHECK_TIMEOUT_MS);
+}
+
+static void
+on_check_timer(void *data, uint64_t now_ms)
+{
+    struct check *check = data;
+
+    (void)now_ms;
+    if (check->connection == NULL) {
+        begin_check(check);
+        return;
+    }
+    finish_check(check, false);
+}
+
+static struct check *
+find_or_add_check(struct crash_monitor *monitor, struct endpoint *endpoint)
+{
+    struct check *check = g_hash_table_lookup(monitor->checks, endpoint->id);
+
+    if (check != NULL) {
+        return check;
+    }
+    check = g_new0(struct check, 1);
+    check->monitor = monitor;
+    check->endpoint = endpoint_ref(endpoint);
+    check->report = crash_report_create(
+        endpoint->id, (uint64_t)(g_get_real_time() / US_PER_MS));
+    check->timer = loop_timer_create(monitor->loop, on_check_timer, check);
+    loop_timer_arm(check->timer, loop_now_ms(monitor->loop) + CHECK_DELAY_MS);
+    g_hash_table_insert(monitor->checks, check->endpoint->id, check);
+    return check;
+}
+
+void
+crash_monitor_record_broken(struct crash_monitor *monitor,
+                            struct endpoint *endpoint, char *const *parts)
+{
+    uint64_t now_ms = loop_now_ms(monitor->loop);
+
+    for (uint32_t i = 0; parts[i] != NULL; i++) {
+        if (!quarantine_was_served(monitor->quarantine, parts[i], now_ms)) {
+            crash_report_add(find_or_add_check(monitor, endpoint)->report,
+                             parts[i], i);
+        }
+    }
+}
+
+/* Knowledge of this gateway and of the others. */
+
+void
+crash_monitor_record_served(struct crash_monitor *monitor, char *const *parts)
+{
+    quarantine_record_served(monitor->quarantine, parts,
+                             loop_now_ms(monitor->loop));
+}
+
+static void
+apply_report(struct crash_monitor *monitor, const struct store_item *item)
+{
+    struct crash_report *report =
+        crash_report_decode(item->bytes, item->count);
+
+    if (report == NULL) {
+        LOG_WARN("a crash report can't be decoded", "key=%s", item->key);
+        return;
+    }
+    quarantine_add_report(monitor->quarantine, report, item->revision,
+                          loop_now_ms(monitor->loop));
+    crash_report_destroy(report);
+}
+
+void
+crash_monitor_apply(struct crash_monitor *monitor,
+                    const struct store_item *item)
+{
+    uint32_t count = crash_monitor_count(monitor);
+
+    /* The store removes items at the end of their lease. The quarantine lets
+       reports expire itself. */
+    if (item->bytes == NULL) {
+        return;
+    }
+    if (platform_store_item_type(item->key) == PLATFORM_ITEM_CRASH_REPORT) {
+        apply_report(monitor, item);
+    }
+    else {
+        quarantine_add_served(monitor->quarantine,
+                              platform_store_served_part(item->key),
+                              item->revision);
+    }
+    log_count(monitor, count);
+}
+
+void
+crash_monitor_tick(struct crash_monitor *monitor)
+{
+    GPtrArray *parts = quarantine_contradicted(monitor->quarantine,
+                                               loop_now_ms(monitor->loop));
+
+    for (guint i = 0; i < parts->len; i++) {
+        const char *part = g_ptr_array_index(parts, i);
+        char *key = platform_store_served_key(part);
+
+        LOG_INFO("a suspected part is served", "part=%s", part);
+        store_writer_put(monitor->writer, key, "", 0);
+        g_free(key);
+    }
+    g_ptr_array_free(parts, TRUE);
+}
+
+const char *
+crash_monitor_find(struct crash_monitor *monitor, char *const *parts,
+                   uint32_t *left_ms)
+{
+    return quarantine_find(monitor->quarantine, parts,
+                           loop_now_ms(monitor->loop), left_ms);
+}
+
+uint32_t
+crash_monitor_count(struct crash_monitor *monitor)
+{
+    return quarantine_count(monitor->quarantine, loop_now_ms(monitor->loop));
+}
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -151,6 +151,10 @@
     case PLATFORM_ITEM_GATEWAY:
         directory->handlers.gateways_changed(directory->data);
         break;
+    case PLATFORM_ITEM_CRASH_REPORT:
+    case PLATFORM_ITEM_SERVED_PART:
+        directory->handlers.crash_item_changed(directory->data, item);
+        break;
     case PLATFORM_ITEM_OTHER:
         break;
     }
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -14,6 +14,7 @@
 struct catalog;
 struct directory;
 struct endpoints;
+struct store_item;
 struct store_items;
 struct _GPtrArray;
 
@@ -23,6 +24,9 @@
     void (*catalog_changed)(void *data, struct catalog *catalog);
     /* A gateway's registration was added, changed or removed. */
     void (*gateways_changed)(void *data);
+    /* A crash report or the announcement of a served part was added, changed
+       or removed (bytes is NULL). */
+    void (*crash_item_changed)(void *data, const struct store_item *item);
 };
 
 /* Borrows endpoints, which must outlive the directory, and copies the
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -14,6 +14,7 @@
 #include "core/stream_latency.h"
 #include "gateway/assignment.h"
 #include "gateway/callers.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
 #include "gateway/forward_state.h"
 #include "gateway/gateway_counters.h"
@@ -376,6 +377,14 @@
     if (forward->events != NULL) {
         event_stream_discard_partial(forward->events);
     }
+    if (crash_monitor_find(forward->forwarder->deps.crashes,
+                           forward->metadata.shared_parts,
+                           &forward->expected_wait_ms) != NULL) {
+        gateway_counters_count(COUNT_QUARANTINED);
+        relay_give_up(forward, STATUS_BAD_GATEWAY,
+                      "a part of the prompt crashes endpoints");
+        return;
+    }
     fill_placement_request(forward, &request);
     choose_endpoints(forward, &request);
     if (assignment->placement.count == 0) {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -12,6 +12,7 @@
    Loop thread only. */
 
 struct callers_handlers;
+struct crash_monitor;
 struct directory;
 struct endpoints;
 struct forwarder;
@@ -40,6 +41,7 @@
     struct upstreams *upstreams;
     struct holds *holds;
     struct peers *peers;
+    struct crash_monitor *crashes;
 };
 
 /* Copies deps and settings and borrows what they point to, for the process's
--- a/gateway/gateway_counters.c
+++ b/gateway/gateway_counters.c
@@ -19,6 +19,7 @@
     [COUNT_RESUMED] = "resumed_total",
     [COUNT_ENDLESS] = "endless_total",
     [COUNT_BROKEN_UNANSWERED] = "broken_unanswered_total",
+    [COUNT_QUARANTINED] = "quarantined_total",
 };
 
 /* Least prompt length of each band, in tokens. Band 0 is for requests without
--- a/gateway/gateway_counters.h
+++ b/gateway/gateway_counters.h
@@ -22,6 +22,7 @@
     COUNT_RESUMED,            /* retries of streams whose head was sent */
     COUNT_ENDLESS,            /* responses beyond a bound of head or event */
     COUNT_BROKEN_UNANSWERED,  /* attempts that broke before the first event */
+    COUNT_QUARANTINED,        /* requests refused for a part of their prompt */
     GATEWAY_COUNTER_COUNT,
 };
 
--- a/gateway/gateway_settings.c
+++ b/gateway/gateway_settings.c
@@ -14,6 +14,7 @@
     SECOND_MS = 1000,
     MINUTE_MS = 60 * SECOND_MS,
     DAY_MS = 24 * 60 * MINUTE_MS,
+    MAX_QUARANTINE_MS = 10 * MINUTE_MS, /* longest lease of the store */
     MAX_FACTOR = 1000,
     MAX_COUNT = 1000000,
 };
@@ -33,6 +34,8 @@
     {"close", INI_DURATION_MS, GATEWAY(close_ms), "3s", 0, MINUTE_MS, NULL},
     {"park", INI_DURATION_MS, GATEWAY(config_wait_ms), "300ms", 0, MINUTE_MS,
      NULL},
+    {"quarantine", INI_DURATION_MS, GATEWAY(quarantine_ms), "10min", 0,
+     MAX_QUARANTINE_MS, NULL},
 };
 
 static const struct ini_key bounds_keys[] = {
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -26,6 +26,9 @@
     uint64_t close_ms;
     /* How long a request waits for the process's first configuration. */
     uint64_t config_wait_ms;
+    /* How long a crash of an endpoint counts against a prompt part; 0: prompt
+       parts are not put under quarantine. */
+    uint64_t quarantine_ms;
 };
 
 /* The settings that may change while the process runs. */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -9,6 +9,7 @@
 #include "core/endpoints.h"
 #include "core/followers.h"
 #include "gateway/callers.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
 #include "gateway/forward.h"
 #include "gateway/gateway_counters.h"
@@ -24,6 +25,7 @@
 #include "io/process.h"
 #include "io/store_follow.h"
 #include "io/store_items.h"
+#include "io/store_writer.h"
 #include "platform/platform_http.h"
 #include "platform/platform_store.h"
 
@@ -36,6 +38,8 @@
     SETTINGS_CHECK_MS = 1000,
     /* Part of the grace period that is left for the process to exit. */
     EXIT_MARGIN_MS = 400,
+    /* Shortest lease that the store grants. */
+    MIN_REPORT_TTL_MS = 1000,
     STATUS_OK = 200,
     STATUS_UNAVAILABLE = 503,
 };
@@ -52,6 +56,7 @@
     struct directory *directory;
     struct upstreams *upstreams;
     struct holds *holds;
+    struct crash_monitor *crashes;
     struct peers *peers;
     struct forwarder *forwarder;
     struct callers *callers;
@@ -94,13 +99,15 @@
         "dandelionfork_gateway_upstreams_opened_total %" PRIu64 "\n"
         "dandelionfork_gateway_gateways %u\n"
         "dandelionfork_gateway_config_version %" PRIu64 "\n"
-        "dandelionfork_gateway_store_age_ms %" PRIu64 "\n",
+        "dandelionfork_gateway_store_age_ms %" PRIu64 "\n"
+        "dandelionfork_gateway_quarantined_parts %u\n",
         callers_connections(gateway->callers),
         callers_pending(gateway->callers),
         upstreams_open_count(gateway->upstreams),
         upstreams_opened_total(gateway->upstreams),
         peers_count(gateway->peers),
-        catalog != NULL ? catalog_version(catalog) : 0, age_ms);
+        catalog != NULL ? catalog_version(catalog) : 0, age_ms,
+        crash_monitor_count(gateway->crashes));
     return STATUS_OK;
 }
 
@@ -127,6 +134,14 @@
     }
 }
 
+static void
+on_crash_item(void *data, const struct store_item *item)
+{
+    struct gateway *gateway = data;
+
+    crash_monitor_apply(gateway->crashes, item);
+}
+
 /* Handlers for the store. */
 
 static void
@@ -252,6 +267,7 @@
 
     directory_tick(gateway->directory, loop_clock_ms());
     update_follower(gateway, loop_clock_ms());
+    crash_monitor_tick(gateway->crashes);
     if (now_ms >= gateway->settings_checked_ms + SETTINGS_CHECK_MS) {
         gateway->settings_checked_ms = now_ms;
         check_settings_file(gateway);
@@ -313,7 +329,8 @@
                                   .directory = gateway->directory,
                                   .endpoints = gateway->endpoints,
                                   .upstreams = gateway->upstreams,
-                                  .holds = gateway->holds};
+                                  .holds = gateway->holds,
+                                  .crashes = gateway->crashes};
 
     gateway->peers = peers_create(gateway->loop, &peers, &gateway->identity,
                                   gateway->directory, gateway->endpoints);
@@ -377,11 +394,29 @@
     return MIN(settings->close_ms, settings->grace_ms / 2);
 }
 
+static void
+create_crash_monitor(struct gateway *gateway)
+{
+    const struct gateway_settings *settings = &gateway->settings.gateway;
+    uint32_t period_ms = (uint32_t)settings->quarantine_ms;
+    struct store_writer *writer =
+        store_writer_create(&(struct store_writer_settings){
+            .ip = gateway->settings.platform.store.ip,
+            .port = gateway->settings.platform.store.port,
+            .ops = &platform_store_ops,
+            .ttl_ms = MAX(period_ms, MIN_REPORT_TTL_MS)});
+
+    gateway->crashes = crash_monitor_create(
+        gateway->loop, gateway->upstreams, writer,
+        &(struct crash_monitor_settings){.instance = settings->instance,
+                                         .period_ms = period_ms});
+}
+
 static bool
 initialise(struct gateway *gateway)
 {
-    static const struct directory_handlers handlers = {on_catalog,
-                                                       on_gateways};
+    static const struct directory_handlers handlers = {on_catalog, on_gateways,
+                                                       on_crash_item};
     const struct process_drain drain = {.grace_ms = close_delay_ms(gateway),
                                         .begin = begin_drain,
                                         .close = close_drain,
@@ -410,6 +445,7 @@
                            gateway->identity.incarnation);
     gateway->holds = holds_create(gateway->loop, gateway->upstreams, name);
     g_free(name);
+    create_crash_monitor(gateway);
     gateway->tick_timer = loop_timer_create(gateway->loop, on_tick, gateway);
     loop_timer_arm(gateway->tick_timer, loop_now_ms(gateway->loop) + TICK_MS);
     return start_listeners(gateway);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -7,6 +7,7 @@
 #include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "gateway/callers.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
 #include "gateway/forward_state.h"
 #include "gateway/gateway_counters.h"
@@ -221,6 +222,10 @@
 {
     uint64_t now_ms = forward_now_ms(forward);
 
+    if (!forward->head_sent) {
+        crash_monitor_record_served(forward->forwarder->deps.crashes,
+                                    forward->metadata.shared_parts);
+    }
     stream_latency_record_event(&forward->latency, now_ms);
     assignment_record_event(&forward->assignment,
                             stream_latency_is_late(&forward->latency),
@@ -306,6 +311,10 @@
                                 forward_now_ms(forward));
     }
     if (forward->response == RESPONSE_BUFFERED) {
+        if (forward->status == STATUS_OK) {
+            crash_monitor_record_served(forward->forwarder->deps.crashes,
+                                        forward->metadata.shared_parts);
+        }
         gateway_counters_add_first_ms(forward->metadata.prompt_tokens,
                                       forward_now_ms(forward) -
                                           forward->started_ms);
@@ -318,6 +327,16 @@
     caller_stream_end(forward->caller, true);
 }
 
+/* The endpoint has broken the attempt off before the first event. */
+static void
+record_broken(struct forward *forward)
+{
+    gateway_counters_count(COUNT_BROKEN_UNANSWERED);
+    crash_monitor_record_broken(forward->forwarder->deps.crashes,
+                                forward->assignment.placement.engines[0],
+                                forward->metadata.shared_parts);
+}
+
 static void
 on_end(void *data)
 {
@@ -326,6 +345,9 @@
     forward->upstream = NULL;
     if (forward->response == RESPONSE_EVENTS &&
         !event_stream_is_complete(forward->events)) {
+        if (!forward->head_sent) {
+            record_broken(forward);
+        }
         forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                             "ended within an event");
         return;
@@ -343,7 +365,7 @@
         gateway_counters_count(COUNT_ENDLESS);
     }
     if (failure == UPSTREAM_MAY_HAVE_RUN && !forward->head_sent) {
-        gateway_counters_count(COUNT_BROKEN_UNANSWERED);
+        record_broken(forward);
     }
     forward_end_attempt(forward,
                         failure == UPSTREAM_NOT_SENT ? ATTEMPT_NOT_SENT
--- a/gateway/upstreams.c
+++ b/gateway/upstreams.c
@@ -274,11 +274,17 @@
     g_free(upstreams);
 }
 
+static char *
+pool_key(const struct endpoint *endpoint)
+{
+    return g_strdup_printf("%s %s:%u", endpoint->id, endpoint->ip,
+                           endpoint->port);
+}
+
 static struct upstream_pool *
 find_pool(struct upstreams *upstreams, const struct endpoint *endpoint)
 {
-    char *key = g_strdup_printf("%s %s:%u", endpoint->id, endpoint->ip,
-                                endpoint->port);
+    char *key = pool_key(endpoint);
     struct upstream_pool *pool = g_hash_table_lookup(upstreams->pools, key);
 
     if (pool != NULL) {
@@ -399,6 +405,18 @@
     }
 }
 
+bool
+upstreams_is_connected(const struct upstreams *upstreams,
+                       const struct endpoint *endpoint)
+{
+    char *key = pool_key(endpoint);
+    const struct upstream_pool *pool =
+        g_hash_table_lookup(upstreams->pools, key);
+
+    g_free(key);
+    return pool != NULL && pool->open > 0;
+}
+
 uint64_t
 upstreams_opened_total(const struct upstreams *upstreams)
 {
--- a/gateway/upstreams.h
+++ b/gateway/upstreams.h
@@ -76,6 +76,10 @@
    called any more. */
 void upstream_cancel(struct upstream *upstream);
 
+/* Whether there is an open connection to the endpoint, in use or idle. */
+bool upstreams_is_connected(const struct upstreams *upstreams,
+                            const struct endpoint *endpoint);
+
 /* Number of connections opened since the start, and open now. */
 uint64_t upstreams_opened_total(const struct upstreams *upstreams);
 uint32_t upstreams_open_count(const struct upstreams *upstreams);
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -623,7 +623,10 @@
     }
     if (connect(fd, (struct sockaddr *)&address, sizeof(address)) != 0 &&
         errno != EINPROGRESS) {
+        int error = errno;
+
         close(fd);
+        errno = error;
         return NULL;
     }
     return create_connection(loop, fd, false, settings, handlers, data);
--- a/io/http_connection.h
+++ b/io/http_connection.h
@@ -67,7 +67,7 @@
     const struct http_connection_handlers *handlers, void *data);
 
 /* Creates the client side of a connection, which receives responses, and
-   starts to connect to an IPv4 address. Returns NULL if that fails
+   starts to connect to an IPv4 address. Returns NULL with errno if that fails
    immediately. */
 struct http_connection *
 http_connection_connect(struct loop *loop, const char *ip, uint16_t port,
--- /dev/null
+++ b/io/store_writer.c
@@ -0,0 +1,145 @@
+#include "io/store_writer.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <unistd.h>
+
+#include "io/log.h"
+#include "io/loop.h"
+#include "io/store.h"
+#include "io/store_items.h"
+
+#define LOG_PART "store"
+
+enum {
+    CONNECT_TIMEOUT_S = 1,
+    READ_TIMEOUT_MARGIN_S = 1,
+    MAX_QUEUED = 256,
+    /* Between retries, with jitter. */
+    MIN_BACKOFF_MS = 100,
+    MAX_BACKOFF_MS = 1000,
+    US_PER_MS = 1000,
+};
+
+struct pending_item {
+    char *key;
+    GBytes *bytes;
+    uint64_t queued_ms;
+};
+
+struct store_writer {
+    struct store_writer_settings settings;
+    GAsyncQueue *queue; /* struct pending_item */
+    /* Used by the thread alone. */
+    struct store *store;
+    uint64_t lease; /* 0: none */
+    uint64_t lease_ms;
+};
+
+static void
+free_item(struct pending_item *item)
+{
+    g_bytes_unref(item->bytes);
+    g_free(item->key);
+    g_free(item);
+}
+
+/* One lease serves for all items of half its life. */
+static bool
+take_lease(struct store_writer *writer, uint64_t now_ms, GError **error)
+{
+    if (writer->lease != 0 &&
+        now_ms < writer->lease_ms + writer->settings.ttl_ms / 2) {
+        return true;
+    }
+    writer->lease_ms = now_ms;
+    writer->lease = writer->settings.ops->grant_lease(
+        writer->store, writer->settings.ttl_ms, error);
+    return writer->lease != 0;
+}
+
+static bool
+write_item(struct store_writer *writer, const struct pending_item *item)
+{
+    GError *error = NULL;
+    gsize count;
+    const char *bytes = g_bytes_get_data(item->bytes, &count);
+    bool written = take_lease(writer, loop_clock_ms(), &error) &&
+                   writer->settings.ops->put(writer->store, item->key, bytes,
+                                             count, writer->lease, &error);
+
+    if (!written) {
+        LOG_WARN("an item is not written to the store", "key=%s error=\"%s\"",
+                 item->key, error != NULL ? error->message : "");
+        /* The lease may have ended. */
+        writer->lease = 0;
+        g_clear_error(&error);
+    }
+    return written;
+}
+
+static void
+write_until_expired(struct store_writer *writer,
+                    const struct pending_item *item)
+{
+    uint32_t backoff_ms = MIN_BACKOFF_MS;
+
+    while (loop_clock_ms() < item->queued_ms + writer->settings.ttl_ms &&
+           !write_item(writer, item)) {
+        usleep((backoff_ms / 2 +
+                (uint32_t)g_random_int_range(0, (gint32)backoff_ms / 2 + 1)) *
+               US_PER_MS);
+        backoff_ms = MIN(backoff_ms * 2, MAX_BACKOFF_MS);
+    }
+}
+
+static void *
+run_writer(void *data)
+{
+    struct store_writer *writer = data;
+
+    writer->store = store_create(writer->settings.ip, writer->settings.port);
+    store_set_timeouts(writer->store, CONNECT_TIMEOUT_S,
+                       READ_TIMEOUT_MARGIN_S);
+    for (;;) {
+        struct pending_item *item = g_async_queue_pop(writer->queue);
+
+        write_until_expired(writer, item);
+        free_item(item);
+    }
+    return NULL;
+}
+
+struct store_writer *
+store_writer_create(const struct store_writer_settings *settings)
+{
+    struct store_writer *writer = g_new0(struct store_writer, 1);
+    pthread_t thread;
+
+    writer->settings = *settings;
+    writer->settings.ip = g_strdup(settings->ip);
+    writer->queue = g_async_queue_new();
+    if (pthread_create(&thread, NULL, run_writer, writer) != 0) {
+        g_error("can't start a thread for the store");
+    }
+    pthread_detach(thread);
+    return writer;
+}
+
+void
+store_writer_put(struct store_writer *writer, const char *key,
+                 const void *bytes, size_t count)
+{
+    struct pending_item *item;
+
+    if (g_async_queue_length(writer->queue) >= MAX_QUEUED) {
+        LOG_WARN("too many items wait for the store, one is dropped", "key=%s",
+                 key);
+        return;
+    }
+    item = g_new0(struct pending_item, 1);
+    item->key = g_strdup(key);
+    item->bytes = g_bytes_new(bytes, count);
+    item->queued_ms = loop_clock_ms();
+    g_async_queue_push(writer->queue, item);
+}
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -8,7 +8,8 @@
    whole ones, as complete HTTP responses; with &break=1 their connection
    breaks there), silent?on=1 (runs requests and
    doesn't respond), crash?part=ID (the process exits when it begins the
-   stream of a request with that part in its Prompt-Prefix), stats. A request
+   stream of a request with that part in its Prompt-Prefix; with &stay=1 it
+   breaks the connection instead), stats. A request
    may ask for another number of events
    (?events=N) or for a slower response (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
@@ -46,6 +47,7 @@
     uint64_t cut_after;
     bool cut_breaks;
     char crash_part[NAME_BYTES]; /* with the colon; empty: none */
+    bool crash_stays;
     uint64_t runs;
     uint64_t streams;          /* in progress */
     uint64_t streams_cut;      /* whose connection ended first */
@@ -108,6 +110,9 @@
     size_t count;
 
     (void)position;
+    if (stream->crashes && stream->worker->crash_stays) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
     if (stream->crashes) {
         print_line("crashed %s\n", stream->id);
         _exit(1);
@@ -335,6 +340,7 @@
         g_snprintf(worker->crash_part, sizeof(worker->crash_part), "%s:",
                    MHD_lookup_connection_value(request->connection,
                                                MHD_GET_ARGUMENT_KIND, "part"));
+        worker->crash_stays = fake_query_number(request, "stay", 0) != 0;
     }
     else if (strcmp(command, "cut") == 0) {
         worker->cut_after = fake_query_number(request, "after", 0);
--- a/tests/faults/gateway_crashing_part.sh
+++ b/tests/faults/gateway_crashing_part.sh
@@ -60,6 +60,19 @@
 wait_until is_ready 1
 wait_until is_ready 2
 
+# Workers that break connections and accept others have not crashed.
+for slot in $SLOTS; do
+    worker_control "$slot" 'crash?part=bad2&stay=1'
+done
+for n in 1 2 3 4 5 6; do
+    prompt "$GATEWAY" "aa01:40,bad2:500,d$n:460" >"$WORK/status"
+done
+for slot in $SLOTS; do
+    worker_control "$slot" 'crash?part=bad1'
+done
+expect "a prompt whose connections broke" \
+    "$(prompt "$GATEWAY" "aa01:40,bad2:500,d7:460")" 200
+
 # The rule: of the requests with the part that come after five workers have
 # ended, three reach workers.
 for n in $(seq 1 16); do
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -31,11 +31,18 @@
     (void)data;
 }
 
+static void
+on_crash_item(void *data, const struct store_item *item)
+{
+    (void)data;
+    (void)item;
+}
+
 static struct fixture *
 create_fixture(void)
 {
-    static const struct directory_handlers handlers = {on_catalog,
-                                                       on_gateways};
+    static const struct directory_handlers handlers = {on_catalog, on_gateways,
+                                                       on_crash_item};
     struct fixture *fixture = g_new0(struct fixture, 1);
 
     fixture->endpoints = endpoints_create();
