--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -33,9 +33,10 @@
                            uint64_t revision, uint64_t now_ms);
 
 /* Records that a gateway has announced, at that revision of the store, that
-   requests with the part get events. Earlier reports no longer count for it.
+   requests with the part of that id get events. Earlier reports no longer
+   count for it.
    */
-void quarantine_add_served(struct quarantine *quarantine, const char *part,
+void quarantine_add_served(struct quarantine *quarantine, const char *id,
                            uint64_t revision);
 
 /* Records that this gateway got an event for a request with these parts. */
@@ -44,8 +45,8 @@
 
 /* Whether this gateway got an event for a request with the part so recently
    that the part is not to be reported for a crash. */
-bool quarantine_was_served(const struct quarantine *quarantine,
-                           const char *part, uint64_t now_ms);
+bool quarantine_was_served(const struct quarantine *quarantine, const char *id,
+                           uint64_t now_ms);
 
 /* Returns the first of the parts that is under quarantine and sets *left_ms to
    the time until it no longer is, if there are no further crashes. Returns
