Gateway: a stream without a length, chunks or any event is broken off

An engine that crashes before the first event of such a stream ended it as complete: the caller got 200 and nothing, and the crash was no evidence against the prompt.

--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -68,6 +68,7 @@
     /* The response to the caller. */
     enum response_state response;
     uint32_t status;
+    bool unframed; /* the end of the connection ends the response */
     bool head_sent;
     bool paused; /* the caller's queue is full; the upstream isn't read */
     GByteArray *response_head;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -151,6 +151,7 @@
         return;
     }
     forward->status = head->status;
+    forward->unframed = head->until_close;
     response_head_copy(forward->response_head, head);
     if (head->status == STATUS_OK && response_head_is_event_stream(head)) {
         forward->response = RESPONSE_EVENTS;
@@ -337,14 +338,22 @@
                                 forward->metadata.shared_parts);
 }
 
+/* Whether a stream was broken off. One without a length, chunks or any event
+   can't be told from an endpoint that has crashed. */
+static bool
+is_cut_short(const struct forward *forward)
+{
+    return !event_stream_is_complete(forward->events) ||
+           (forward->unframed && !forward->head_sent);
+}
+
 static void
 on_end(void *data)
 {
     struct forward *forward = data;
 
     forward->upstream = NULL;
-    if (forward->response == RESPONSE_EVENTS &&
-        !event_stream_is_complete(forward->events)) {
+    if (forward->response == RESPONSE_EVENTS && is_cut_short(forward)) {
         if (!forward->head_sent) {
             record_broken(forward);
         }
--- a/tests/fakes/fake_server.c
+++ b/tests/fakes/fake_server.c
@@ -110,6 +110,10 @@
         mhd_response = MHD_create_response_from_callback(
             MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, response->read,
             response->read_data, response->free_read);
+        if (response->unframed) {
+            MHD_set_response_options(mhd_response, MHD_RF_HTTP_1_0_SERVER,
+                                     MHD_RO_END);
+        }
     }
     else {
         mhd_response = MHD_create_response_from_buffer(
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -36,7 +36,8 @@
     uint64_t consul_index; /* X-Consul-Index header; 0: none */
     /* Unused ones have name NULL. */
     struct fake_header_line headers[FAKE_MAX_HEADERS];
-    bool drop; /* close the connection without a response */
+    bool drop;     /* close the connection without a response */
+    bool unframed; /* a streamed body has neither a length nor chunks */
     /* If read is set, the body is streamed: read is a content reader callback
        of libmicrohttpd, and free_read frees read_data at the end. */
     ssize_t (*read)(void *data, uint64_t position, char *out, size_t max);
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -7,10 +7,11 @@
    be reserved), cut?after=N (streams end in the middle of the event after N
    whole ones, as complete HTTP responses; with &break=1 their connection
    breaks there), silent?on=1 (runs requests and
-   doesn't respond), crash?part=ID (the process exits when it begins the
-   stream of a request with that part in its Prompt-Prefix; with &stay=1 it
-   breaks the connection instead), stats. A request
-   may ask for another number of events
+   doesn't respond), empty?on=1 (streams have neither a length nor chunks and
+   end before their first event), crash?part=ID (the process exits when it
+   begins the stream of a request with that part in its Prompt-Prefix; with
+   &stay=1 it breaks the connection instead), stats. A request may ask for
+   another number of events
    (?events=N) or for a slower response (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
@@ -44,6 +45,7 @@
     bool full;
     bool fail;
     bool silent;
+    bool empty;
     uint64_t cut_after;
     bool cut_breaks;
     char crash_part[NAME_BYTES]; /* with the colon; empty: none */
@@ -229,6 +231,10 @@
               sizeof(stream->id));
     stream->cut_after = worker->cut_after;
     stream->cut_breaks = worker->cut_breaks;
+    if (worker->empty) {
+        stream->end = stream->next;
+        response->unframed = true;
+    }
     stream->crashes = worker->crash_part[0] != '\0' &&
                       strstr(header_or_dash(request, "Prompt-Prefix"),
                              worker->crash_part) != NULL;
@@ -333,6 +339,9 @@
         worker->silent = on;
         pthread_cond_broadcast(&worker->changed);
     }
+    else if (strcmp(command, "empty") == 0) {
+        worker->empty = on;
+    }
     else if (strcmp(command, "memory") == 0) {
         worker->memory_tokens = fake_query_number(request, "tokens", 0);
     }
--- a/tests/faults/gateway_retry.sh
+++ b/tests/faults/gateway_retry.sh
@@ -61,6 +61,15 @@
 expect "distinct event ids" "$(sed -n 's/^id: //p' "$WORK/body" |
     sort -n -u | wc -l)" 12
 
+# A stream without a length, chunks or any event has ended with its worker.
+worker_control 3 'cut?after=0'
+worker_control 3 'empty?on=1'
+for n in 1 2 3 4; do
+    expect "a stream that one worker ends at once" \
+        "$(call "$GATEWAY" /stream/x -d prompt -H 'Token-Usage: 1000,400')" 200
+    expect "events of the stream" "$(grep -c '^data: event' "$WORK/body")" 12
+done
+
 # A request whose endpoints can't be reached counts as not run.
 kill_and_reap worker-1
 kill_and_reap worker-2
