--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -6,7 +6,9 @@
    cancelled, as a stream without tokens; DELETE /v1/streams/ID cancels a
    stream; GET /v1/streams lists them; GET /control/stats returns the held
    memory and counters; /control/truncate?after=N ends the next stream after N
-   tokens, as a complete response. */
+   tokens, as a complete response.
+   With --crash-byte N the process exits at the first token of a prompt that
+   begins with that character. */
 
 #include <glib.h>
 #include <jansson.h>
@@ -33,11 +35,12 @@
     ARG_MEMORY,   /* tokens */
     ARG_TOKEN_US, /* interval between the tokens of a stream */
     ARG_CACHE,    /* tokens */
+    ARG_CRASH,    /* first character of prompts that crash this; 0: none */
     ARG_COUNT
 };
 
 static const char *const argument_names[ARG_COUNT] = {
-    "prefill-rate", "memory-tokens", "token-us", "cache-tokens"};
+    "prefill-rate", "memory-tokens", "token-us", "cache-tokens", "crash-byte"};
 
 struct stream {
     char *id;
@@ -49,6 +52,7 @@
     uint64_t sent_tokens;
     bool is_single_body; /* the response has a single body */
     bool cancelled;
+    bool crashes;
     bool done_sent;
     uint64_t truncate_after_tokens;
     char event[EVENT_BYTES]; /* the event that is being sent */
@@ -177,6 +181,15 @@
     return !cancelled;
 }
 
+/* Called before the first token. */
+static void
+crash_if_asked(const struct stream *stream)
+{
+    if (stream->crashes) {
+        _exit(1);
+    }
+}
+
 static void
 next_event(struct stream *stream)
 {
@@ -208,6 +221,7 @@
     if (!wait_for_prefill(stream)) {
         return MHD_CONTENT_READER_END_WITH_ERROR;
     }
+    crash_if_asked(stream);
     if (stream->event_sent == stream->event_bytes) {
         if (stream->done_sent) {
             return MHD_CONTENT_READER_END_OF_STREAM;
@@ -279,6 +293,17 @@
     return tokens;
 }
 
+static bool
+begins_with_crash_byte(const struct fake_request *request)
+{
+    static const char field[] = "\"prompt\":\"";
+    const char *found = g_strstr_len((const char *)request->body->data,
+                                     (gssize)request->body->len, field);
+
+    return engine.arguments[ARG_CRASH] != 0 && found != NULL &&
+           (uint64_t)found[strlen(field)] == engine.arguments[ARG_CRASH];
+}
+
 static struct stream *
 create_stream(const struct fake_request *request,
               struct fake_response *response)
@@ -304,6 +329,7 @@
     stream->memory_tokens -=
         MIN(stream->memory_tokens, tokens_at_other_engines(request));
     stream->is_single_body = !stream->prompt.streamed;
+    stream->crashes = begins_with_crash_byte(request);
     pthread_mutex_lock(&engine.lock);
     if (engine.held_tokens + stream->memory_tokens >
         engine.arguments[ARG_MEMORY]) {
@@ -393,6 +419,7 @@
         return;
     }
     response->drop = !wait_for_prefill(stream);
+    crash_if_asked(stream);
     usleep((useconds_t)(engine.arguments[ARG_TOKEN_US] * stream->max_tokens));
     response->content_type = "application/json";
     response->body = complete_body(stream);
