Entry: prompts that begin like those that crashed engines are refused

The agents need no change: one stands before one engine and has nothing to choose.

An engine that breaks a prompt off before the first byte counts as crashed. A prefix at three crashes at different times, of no prompt that got a byte since, is refused, and not tried again, for 'quarantine'. Each entry learns by itself, and prompts below 1 KiB have no prefix hash: both are in docs/design/late-binding.md.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -411,6 +411,9 @@
     if (best == NULL || count != best_count) {
         return best == NULL || count > best_count;
     }
+    if (part->depth != best->depth) {
+        return part->depth > best->depth;
+    }
     return strcmp(part->id, best->id) < 0;
 }
 
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -36,6 +36,8 @@
      NULL},
     {"silence", INI_DURATION_MS, ENTRY(silence_ms), "3s", 1500, MINUTE_MS,
      NULL},
+    {"quarantine", INI_DURATION_MS, ENTRY(quarantine_ms), "10min", 0, HOUR_MS,
+     NULL},
     {"resume", INI_DURATION_MS, ENTRY(resume_ms), "4s", 10, MINUTE_MS, NULL},
     {"first_candidates", INI_COUNT, ENTRY(first_candidates), "2", 1,
      BINDING_MAX_CANDIDATES, NULL},
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -22,6 +22,9 @@
     uint64_t idle_ms;
     uint64_t drain_grace_ms;
     uint64_t silence_ms;
+    /* How long a crash of an engine counts against a prompt's prefixes; 0: no
+       prompt is refused for that. */
+    uint64_t quarantine_ms;
     uint64_t resume_ms;
     uint64_t first_candidates;
     uint64_t widen_step;
--- a/entry/main.c
+++ b/entry/main.c
@@ -11,6 +11,7 @@
 #include "entry/agents.h"
 #include "entry/claims.h"
 #include "entry/config_links.h"
+#include "entry/engine_crashes.h"
 #include "entry/entry_counters.h"
 #include "entry/entry_settings.h"
 #include "entry/front.h"
@@ -298,6 +299,7 @@
         .max_candidates = (uint32_t)from->max_candidates,
         .resume_ms = (uint32_t)from->resume_ms,
         .max_attempts = (uint32_t)from->max_attempts};
+    struct engine_crashes *crashes;
 
     entry->members =
         members_create(from->data_centre, (enum members_policy)from->policy,
@@ -306,11 +308,13 @@
     entry->claims =
         claims_create(entry->loop, entry->workers, entry->platform.store.ip,
                       entry->platform.store.port);
-    entry->requests = requests_create(
-        entry->loop, &binding, entry->identity.incarnation, entry->members);
-    entry->sessions =
-        sessions_create(entry->loop, &settings, entry->members,
-                        entry->requests, entry->workers, entry->claims);
+    crashes = engine_crashes_create((uint32_t)from->quarantine_ms);
+    entry->requests =
+        requests_create(entry->loop, &binding, entry->identity.incarnation,
+                        entry->members, crashes);
+    entry->sessions = sessions_create(entry->loop, &settings, entry->members,
+                                      entry->requests, entry->workers,
+                                      entry->claims, crashes);
     entry->agents =
         agents_create(entry->loop, entry->members, &entry->identity,
                       (uint32_t)from->silence_ms, &agent_handlers, entry);
--- a/entry/request.c
+++ b/entry/request.c
@@ -6,6 +6,7 @@
 #include "core/config.h"
 #include "core/members.h"
 #include "entry/agents.h"
+#include "entry/engine_crashes.h"
 #include "entry/entry_counters.h"
 #include "io/loop.h"
 #include "io/published_config.h"
@@ -19,6 +20,7 @@
     struct binding_settings settings;
     uint64_t incarnation;
     struct members *members;
+    struct engine_crashes *crashes;
     struct agents *agents;
     GRand *rand;
     uint64_t last_counter;
@@ -62,7 +64,8 @@
 
 struct requests *
 requests_create(struct loop *loop, const struct binding_settings *settings,
-                uint64_t incarnation, struct members *members)
+                uint64_t incarnation, struct members *members,
+                struct engine_crashes *crashes)
 {
     struct requests *requests = g_new0(struct requests, 1);
 
@@ -70,6 +73,7 @@
     requests->settings = *settings;
     requests->incarnation = incarnation;
     requests->members = members;
+    requests->crashes = crashes;
     requests->rand = g_rand_new();
     requests->by_id = g_hash_table_new(id_hash, id_equal);
     requests->registered = g_hash_table_new(NULL, NULL);
@@ -563,6 +567,32 @@
     }
 }
 
+/* Records prompts that an engine has broken off before the first byte, and
+   those that get it. */
+static void
+record_crashes(const struct request *request, uint32_t node,
+               const struct message *message, uint64_t now_ms)
+{
+    struct requests *requests = request->requests;
+    const struct request_spec *spec = &request->spec;
+
+    if (spec->work_class != WORK_PROMPT ||
+        binding_received_bytes(request->binding) > 0) {
+        return;
+    }
+    if (message->type == MESSAGE_CHUNK) {
+        engine_crashes_record_served(requests->crashes, spec->prefixes,
+                                     spec->prefix_count, now_ms);
+    }
+    else if (message->type == MESSAGE_END &&
+             message->reason == REASON_ENDPOINT_FAILED &&
+             message->outcome != OUTCOME_NOT_RUN) {
+        engine_crashes_record_broken(
+            requests->crashes, members_get(requests->members, node)->instance,
+            spec->prefixes, spec->prefix_count, now_ms);
+    }
+}
+
 /* The agent keeps a completed response until the entry reports that it has
    consumed the whole of it. */
 static void
@@ -619,6 +649,7 @@
         handle_late_message(requests, node, message);
         return;
     }
+    record_crashes(request, node, message, now_ms);
     while (request != NULL) {
         struct request *next = request->next_same_id;
 
--- a/entry/request.h
+++ b/entry/request.h
@@ -15,6 +15,7 @@
    are those of loop_now_ms(). Loop thread only. */
 
 struct agents;
+struct engine_crashes;
 struct loop;
 struct members;
 struct request;
@@ -67,11 +68,11 @@
 };
 
 /* incarnation is this process's and becomes part of every request id. Copies
-   settings and borrows loop and members. */
+   settings and borrows the rest. */
 struct requests *requests_create(struct loop *loop,
                                  const struct binding_settings *settings,
-                                 uint64_t incarnation,
-                                 struct members *members);
+                                 uint64_t incarnation, struct members *members,
+                                 struct engine_crashes *crashes);
 /* Sets the links to the agents. It is called before the first request, and
    separately, since agents_create() needs handlers that call this module. */
 void requests_set_agents(struct requests *requests, struct agents *agents);
--- a/entry/session.c
+++ b/entry/session.c
@@ -11,6 +11,7 @@
 #include "core/prefix.h"
 #include "core/retry_budget.h"
 #include "entry/claims.h"
+#include "entry/engine_crashes.h"
 #include "entry/entry_counters.h"
 #include "entry/error_body.h"
 #include "entry/front.h"
@@ -41,6 +42,7 @@
     struct requests *requests;
     struct worker_pool *workers;
     struct claims *claims;
+    struct engine_crashes *crashes;
     GRand *rand;
     GHashTable *retry_budgets; /* route name to struct retry_budget */
 };
@@ -87,7 +89,8 @@
 struct sessions *
 sessions_create(struct loop *loop, const struct sessions_settings *settings,
                 struct members *members, struct requests *requests,
-                struct worker_pool *workers, struct claims *claims)
+                struct worker_pool *workers, struct claims *claims,
+                struct engine_crashes *crashes)
 {
     struct sessions *sessions = g_new0(struct sessions, 1);
 
@@ -97,6 +100,7 @@
     sessions->requests = requests;
     sessions->workers = workers;
     sessions->claims = claims;
+    sessions->crashes = crashes;
     sessions->rand = g_rand_new();
     sessions->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -256,6 +260,21 @@
                      body);
 }
 
+/* Whether the prompt is under quarantine, and for how long. left_ms may be
+   NULL. */
+static bool
+crashes_engines(const struct session *session, uint32_t *left_ms)
+{
+    uint32_t ignored_ms;
+
+    return session->work_class == WORK_PROMPT &&
+           engine_crashes_find(session->sessions->crashes,
+                               session->prompt.prefixes,
+                               session->prompt.prefix_count,
+                               loop_now_ms(session->sessions->loop),
+                               left_ms != NULL ? left_ms : &ignored_ms);
+}
+
 /* Handlers of the request. */
 
 static bool
@@ -265,8 +284,9 @@
 
     /* A prompt on several engines is not sent again by itself. Only if a hold
        fails, on_group_failed() may create the whole group anew. */
-    return session->group == NULL && retry_budget_spend(get_retry_budget(
-                                         session->sessions, session->route));
+    return session->group == NULL && !crashes_engines(session, NULL) &&
+           retry_budget_spend(
+               get_retry_budget(session->sessions, session->route));
 }
 
 static void
@@ -652,6 +672,7 @@
     const struct route *route = config_route(
         config, exchange_path(session->exchange), session->prompt.model);
     bool several_engines = false;
+    uint32_t left_ms;
 
     if (route == NULL) {
         refuse_bad_request(session, MHD_HTTP_NOT_FOUND,
@@ -671,6 +692,11 @@
     if (session->responded || !read_idempotency_key(session)) {
         return;
     }
+    if (crashes_engines(session, &left_ms)) {
+        refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE, "quarantined",
+               "prompts that begin like this one crash engines", left_ms);
+        return;
+    }
     if (several_engines) {
         begin_group(session);
     }
