Gateway: the limit that an endpoint names is read and logged

Nothing is decided by it yet. An answer of another instance (421) says nothing about the endpoint that was asked.

--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -24,9 +24,13 @@
 struct response_metadata {
     bool matches_request;  /* it answers the request that was sent */
     bool not_executed;     /* the endpoint has not run the request and won't */
+    bool misdirected;      /* from another instance than the one asked for */
     uint32_t keep_alive_s; /* idle timeout of the connection; 0: not given */
     bool has_load;
     uint32_t load_requests; /* running and waiting at the endpoint */
+    /* Requests a second that the endpoint takes from all gateways together; 0:
+       it names no limit. */
+    double limit_per_s;
     /* Address of the endpoint that failed, if another endpoint sent this
        response; NULL: not given. Borrowed from the response head. */
     const char *failed_address;
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -65,6 +65,7 @@
        gateway's nor in the peers' reports, and when. */
     uint32_t unseen_requests;
     uint64_t unseen_ms;
+    double limit_per_s; /* that the endpoint names; 0: none */
     uint32_t consecutive_failures;
     uint64_t avoid_until_ms; /* no new requests before; 0: no limit */
     guint references;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -179,6 +179,20 @@
     }
 }
 
+static void
+record_limit(const struct forward *forward,
+             const struct response_metadata *metadata)
+{
+    struct endpoint *endpoint = forward->assignment.placement.engines[0];
+
+    if (endpoint->limit_per_s != metadata->limit_per_s) {
+        LOG_INFO("endpoint names another limit",
+                 "endpoint=%s limit_per_s=%.3f before=%.3f", endpoint->id,
+                 metadata->limit_per_s, endpoint->limit_per_s);
+        endpoint->limit_per_s = metadata->limit_per_s;
+    }
+}
+
 static void
 on_head(void *data, const struct http_head *head)
 {
@@ -192,7 +206,10 @@
                             "answer to another request");
         return;
     }
-    record_load(forward, &metadata, head->status);
+    if (!metadata.misdirected) {
+        record_load(forward, &metadata, head->status);
+        record_limit(forward, &metadata);
+    }
     if (metadata.not_executed) {
         forward_end_attempt(forward, ATTEMPT_REJECTED,
                             "refused by the endpoint");
--- a/tests/unit/test_numbers.c
+++ b/tests/unit/test_numbers.c
@@ -361,6 +361,30 @@
     g_assert_cmpuint(decode_keep_alive_s("timeout=soon"), ==, 0);
 }
 
+static double
+decode_limit(const char *text)
+{
+    const struct http_header header = {"Server-Limit", text};
+    const struct http_head head = {
+        .status = 200, .headers = &header, .header_count = 1};
+    struct response_metadata response;
+
+    platform_http_decode_response(&head, NULL, &response);
+    return response.limit_per_s;
+}
+
+static void
+test_endpoint_limit(void)
+{
+    g_assert_cmpfloat(decode_limit("1.7"), ==, 1.7);
+    g_assert_cmpfloat(decode_limit("12"), ==, 12.0);
+    g_assert_cmpfloat(decode_limit("1e1"), ==, 10.0);
+    g_assert_cmpfloat(decode_limit("0"), ==, 0.001);
+    g_assert_cmpfloat(decode_limit("1e30"), ==, UINT32_MAX);
+    g_assert_cmpfloat(decode_limit("-1"), ==, 0.0);
+    g_assert_cmpfloat(decode_limit("few"), ==, 0.0);
+}
+
 struct parts_case {
     const char *text;
     const char *shared; /* joined by '+' */
@@ -407,6 +431,7 @@
     g_test_add_func("/numbers/usage", test_usage);
     g_test_add_func("/numbers/endpoint-load", test_endpoint_load);
     g_test_add_func("/numbers/keep-alive", test_keep_alive);
+    g_test_add_func("/numbers/endpoint-limit", test_endpoint_limit);
     g_test_add_func("/numbers/shared-parts", test_shared_parts);
     return g_test_run();
 }
