--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -10,9 +10,10 @@
    doesn't respond), empty?on=1 (streams have neither a length nor chunks and
    end before their first event), crash?part=ID (the process exits when it
    begins the stream of a request with that part in its Prompt-Prefix; with
-   &stay=1 it breaks the connection instead), stats. A request may ask for
-   another number of events
-   (?events=N) or for a slower response (?ms=N). The worker prints each run on
+   &stay=1 it breaks the connection instead), limit?milli=N (answers name a
+   limit of N thousandths of a request a second; 0: none), stats. A request may
+   ask for another number of events (?events=N) or for a slower response
+   (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
    of fake_clock_ms(), ID the Attempt-Id. */
@@ -44,6 +45,7 @@
     uint64_t number;
     bool full;
     bool fail;
+    const char *limit; /* Server-Limit; NULL: none */
     bool silent;
     bool empty;
     uint64_t cut_after;
@@ -284,6 +286,10 @@
 {
     response->headers[1] = (struct fake_header_line){
         "Attempt-Id", header_or_dash(request, "Attempt-Id")};
+    if (worker->limit != NULL) {
+        response->headers[3] =
+            (struct fake_header_line){"Server-Limit", worker->limit};
+    }
     if (!admit(worker, request, response)) {
         return;
     }
@@ -320,6 +326,15 @@
         (const char *)request->body->data);
 }
 
+static void
+set_limit(struct worker *worker, uint64_t milli)
+{
+    char text[NAME_BYTES];
+
+    g_snprintf(text, sizeof(text), "%.3f", (double)milli / 1000.0);
+    worker->limit = milli > 0 ? g_intern_string(text) : NULL;
+}
+
 static void
 control(struct worker *worker, const struct fake_request *request,
         const char *command, struct fake_response *response)
@@ -339,6 +354,9 @@
         worker->silent = on;
         pthread_cond_broadcast(&worker->changed);
     }
+    else if (strcmp(command, "limit") == 0) {
+        set_limit(worker, fake_query_number(request, "milli", 0));
+    }
     else if (strcmp(command, "empty") == 0) {
         worker->empty = on;
     }
