Gateway: the limit that an endpoint names is kept by all gateways together

Endpoints in need named a limit and got as many requests as before: 26 and 21 in 4 s, where 15 and 12 are allowed.

Ruled out: four gateways that each keep the limit for themselves (one of the two endpoints was sent to by one gateway alone), and placement that prefers what looks idle (the rate did not rise). Reading it alone would not do: two gateways that read it sent 152 in 4 s, 14 are allowed.

Four gateways share an endpoint's limit, the same for all by rendezvous, with at most one request saved up each: four times the limit and four more in any 4 s. The others send none. All keep the newest observation, which reports of load carry; gateways of the build before skip it. Without room at any endpoint a request is refused at once, with the time until there is.

--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -164,7 +164,7 @@
             &g_array_index(rows, struct endpoint_peer_load, i);
         struct endpoint *endpoint = endpoints_find(endpoints, row->id);
 
-        if (endpoint != NULL) {
+        if (endpoint != NULL && !row->is_limit) {
             apply(endpoint, &row->load);
         }
     }
@@ -185,7 +185,7 @@
             const struct endpoint_peer_load *row =
                 &g_array_index(rows, struct endpoint_peer_load, i);
 
-            if (strcmp(row->id, endpoint->id) == 0) {
+            if (!row->is_limit && strcmp(row->id, endpoint->id) == 0) {
                 add_peer_load(endpoint, &row->load);
             }
         }
@@ -259,10 +259,43 @@
     return healthy;
 }
 
+static void
+learn_limits(const struct endpoints *endpoints, const GArray *rows,
+             uint64_t now_ms)
+{
+    for (guint i = 0; rows != NULL && i < rows->len; i++) {
+        const struct endpoint_peer_load *row =
+            &g_array_index(rows, struct endpoint_peer_load, i);
+        struct endpoint *endpoint = endpoints_find(endpoints, row->id);
+
+        if (endpoint != NULL && row->is_limit) {
+            endpoint_limit_learn(&endpoint->limit, row->limit_per_s,
+                                 now_ms - MIN(row->limit_age_ms, now_ms));
+        }
+    }
+}
+
+uint32_t
+endpoints_limited(const struct endpoints *endpoints)
+{
+    uint32_t count = 0;
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, endpoints->by_id);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const struct endpoint *endpoint = value;
+
+        count += endpoint->limit.per_s > 0.0 ? 1 : 0;
+    }
+    return count;
+}
+
 void
 endpoints_set_peer_load(struct endpoints *endpoints, const char *peer,
-                        GArray *rows)
+                        GArray *rows, uint64_t now_ms)
 {
+    learn_limits(endpoints, rows, now_ms);
     for_each_row(endpoints, g_hash_table_lookup(endpoints->peers, peer),
                  subtract_peer_load);
     for_each_row(endpoints, rows, add_peer_load);
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "core/catalog.h"
+#include "core/endpoint_limit.h"
 
 /* The endpoints that a gateway knows, with the load that it has placed on
    each, the load that its peers (the other gateways) report, and recent
@@ -65,16 +66,20 @@
        gateway's nor in the peers' reports, and when. */
     uint32_t unseen_requests;
     uint64_t unseen_ms;
-    double limit_per_s; /* that the endpoint names; 0: none */
+    struct endpoint_limit limit;
     uint32_t consecutive_failures;
     uint64_t avoid_until_ms; /* no new requests before; 0: no limit */
     guint references;
 };
 
-/* Load that a peer reports for one endpoint. */
+/* What a peer reports of one endpoint: its load, or a limit that it has
+   observed. */
 struct endpoint_peer_load {
     char *id; /* of the endpoint; owned */
+    bool is_limit;
     struct endpoint_load load;
+    double limit_per_s; /* 0: none */
+    uint64_t limit_age_ms;
 };
 
 struct endpoints *endpoints_create(void);
@@ -100,11 +105,14 @@
 GPtrArray *endpoints_usable(const struct endpoints *endpoints,
                             const char *service, uint64_t now_ms);
 
-/* Replaces the load that a peer (its instance) reports. rows is an array of
-   struct endpoint_peer_load, which is taken over; NULL: the peer reports no
-   load. */
+/* Replaces the load that a peer (its instance) reports, and applies the limits
+   that it reports. rows is an array of struct endpoint_peer_load, which is
+   taken over; NULL: the peer reports no load. */
 void endpoints_set_peer_load(struct endpoints *endpoints, const char *peer,
-                             GArray *rows);
+                             GArray *rows, uint64_t now_ms);
+
+/* Number of endpoints that name a limit. */
+uint32_t endpoints_limited(const struct endpoints *endpoints);
 
 struct endpoint *endpoint_ref(struct endpoint *endpoint);
 void endpoint_unref(struct endpoint *endpoint);
--- a/core/peer_load.c
+++ b/core/peer_load.c
@@ -1,12 +1,17 @@
 #include "core/peer_load.h"
 
 #include <glib.h>
+#include <math.h>
+#include <string.h>
 
 #include "core/endpoints.h"
 #include "core/flat_items.h"
 
-/* Value is encoded in thousandths. */
+/* Value and limits are encoded in thousandths. */
 static const double value_units = 1000.0;
+static const double limit_units = 1000.0;
+
+static const char limit_prefix[] = "limit ";
 
 static void
 encode_row(GByteArray *out, const char *id, const struct endpoint_load *load)
@@ -21,6 +26,22 @@
     }
 }
 
+/* The limit stands in the place of the requests, its age in that of the
+   prefill. */
+static void
+encode_limit(GByteArray *out, const char *id,
+             const struct endpoint_limit *limit, uint64_t now_ms)
+{
+    char *row_id = g_strconcat(limit_prefix, id, NULL);
+    const struct endpoint_load load = {
+        .requests = (uint32_t)MIN(ceil(limit->own_per_s * limit_units),
+                                  (double)UINT32_MAX),
+        .prefill_ms = (double)(now_ms - limit->own_observed_ms)};
+
+    encode_row(out, row_id, &load);
+    g_free(row_id);
+}
+
 void
 peer_load_encode(const struct endpoints *endpoints, uint64_t now_ms,
                  GByteArray *out)
@@ -37,21 +58,36 @@
             endpoint_own_load(endpoint, now_ms, &load);
             encode_row(out, endpoint->id, &load);
         }
+        if (endpoint->limit.own_observed_ms > 0) {
+            encode_limit(out, endpoint->id, &endpoint->limit, now_ms);
+        }
     }
 }
 
 static void
 decode_row(struct flat_items_reader *reader, struct endpoint_peer_load *row)
 {
+    uint64_t prefill_ms;
+
     row->id = flat_items_read_text(reader);
     row->load.requests = (uint32_t)flat_items_read_number(reader);
-    row->load.prefill_ms = (double)flat_items_read_number(reader);
+    prefill_ms = flat_items_read_number(reader);
+    row->load.prefill_ms = (double)prefill_ms;
     row->load.tokens = flat_items_read_number(reader);
     for (size_t c = 0; c < CATALOG_MAX_GAP_CLASSES; c++) {
         row->load.streams[c] = (uint32_t)flat_items_read_number(reader);
         row->load.value[c] =
             (double)flat_items_read_number(reader) / value_units;
     }
+    if (row->id != NULL && g_str_has_prefix(row->id, limit_prefix)) {
+        char *id = g_strdup(row->id + strlen(limit_prefix));
+
+        g_free(row->id);
+        row->id = id;
+        row->is_limit = true;
+        row->limit_per_s = (double)row->load.requests / limit_units;
+        row->limit_age_ms = prefill_ms;
+    }
 }
 
 GArray *
--- a/core/peer_load.h
+++ b/core/peer_load.h
@@ -5,14 +5,16 @@
 #include <stdint.h>
 
 /* Encoding of the load reports between gateways: the load that a gateway has
-   placed on each endpoint. */
+   placed on each endpoint, and the limits that it has observed. A limit is a
+   row under the endpoint's id with a prefix, which gateways without limits
+   skip as the load of an unknown endpoint. */
 
 struct endpoints;
 struct _GArray;
 struct _GByteArray;
 
-/* Appends a report of the load that this gateway has placed on the endpoints.
-   Endpoints without load are left out. */
+/* Appends a report of the load that this gateway has placed on the endpoints
+   and of the limits that it has observed. Endpoints without are left out. */
 void peer_load_encode(const struct endpoints *endpoints, uint64_t now_ms,
                       struct _GByteArray *out);
 
--- a/core/placement.c
+++ b/core/placement.c
@@ -454,6 +454,24 @@
     use_first(candidates, 1, placement);
 }
 
+/* Candidates that may not be used still have their place in the gateway's
+   order of preference, so that it does not change with each limit. */
+static void
+remove_unusable(const struct placement_request *request, GArray *candidates)
+{
+    if (request->may_use == NULL) {
+        return;
+    }
+    for (guint i = candidates->len; i > 0; i--) {
+        const struct endpoint *endpoint =
+            g_array_index(candidates, struct candidate, i - 1).endpoint;
+
+        if (!request->may_use(request->may_use_data, endpoint)) {
+            g_array_remove_index(candidates, i - 1);
+        }
+    }
+}
+
 void
 placement_choose(const struct placement_request *request,
                  const GPtrArray *candidates, uint64_t now_ms, GRand *random,
@@ -471,6 +489,7 @@
         g_array_append_val(list, candidate);
     }
     set_distances(request, list);
+    remove_unusable(request, list);
     if (list->len > 0) {
         if (request->service->has_engine && request->prompt_tokens > 0) {
             choose_engines(request, list, random, placement);
--- a/core/placement.h
+++ b/core/placement.h
@@ -38,6 +38,9 @@
     uint32_t first_event_target_ms;
     uint32_t gap_class; /* from catalog_gap_class() */
     double value;       /* from placement_prompt_value() */
+    /* Whether a candidate may get the request; NULL: all may. */
+    bool (*may_use)(void *data, const struct endpoint *endpoint);
+    void *may_use_data;
 };
 
 /* engines[0] answers the caller; the others are helpers that share the
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -206,8 +206,27 @@
     return false;
 }
 
+/* Whether an endpoint's limit leaves room for the request. If not, the request
+   waits for it at most so long, in case no other endpoint can serve it. */
+static bool
+may_send_to(void *data, const struct endpoint *endpoint)
+{
+    struct forward *forward = data;
+    uint64_t wait_ms;
+
+    if (endpoint->limit.per_s == 0.0) {
+        return true;
+    }
+    wait_ms = endpoint_limit_wait_ms(
+        &endpoint->limit,
+        peers_limit_sharers(forward_peers(forward), endpoint->id),
+        forward_now_ms(forward));
+    forward->limit_wait_ms = MIN(forward->limit_wait_ms, wait_ms);
+    return wait_ms == 0;
+}
+
 static void
-fill_placement_request(const struct forward *forward,
+fill_placement_request(struct forward *forward,
                        struct placement_request *request)
 {
     const struct catalog_route *route = forward->admitted.route;
@@ -230,6 +249,8 @@
         .gap_class = catalog_gap_class(service, route->gap_target_ms),
         .value = placement_prompt_value(forward->metadata.prompt_tokens)};
     request->local_gateways = local_gateways;
+    request->may_use = may_send_to;
+    request->may_use_data = forward;
 }
 
 /* Places the request at endpoints that it has not been sent to yet. */
@@ -303,7 +324,13 @@
                                    peers_count(forward->forwarder->deps.peers),
                                1)};
 
+    struct endpoint *endpoint = forward->assignment.placement.engines[0];
+
     gateway_counters_count(COUNT_ATTEMPTS);
+    endpoint_limit_take(
+        &endpoint->limit,
+        peers_limit_sharers(forward_peers(forward), endpoint->id),
+        forward_now_ms(forward));
     forward->attempts++;
     forward->paused = false;
     forward->upstream =
@@ -367,6 +394,19 @@
     return true;
 }
 
+static void
+give_up_unplaced(struct forward *forward)
+{
+    if (forward->limit_wait_ms < UINT64_MAX) {
+        forward->expected_wait_ms =
+            (uint32_t)MIN(forward->limit_wait_ms, UINT32_MAX);
+        relay_give_up(forward, STATUS_BAD_GATEWAY,
+                      "endpoints are at the limits that they name");
+        return;
+    }
+    relay_give_up(forward, STATUS_BAD_GATEWAY, "no endpoint");
+}
+
 /* Starts the first attempt or a retry. */
 static void
 dispatch(struct forward *forward)
@@ -385,10 +425,11 @@
                       "a part of the prompt crashes endpoints");
         return;
     }
+    forward->limit_wait_ms = UINT64_MAX;
     fill_placement_request(forward, &request);
     choose_endpoints(forward, &request);
     if (assignment->placement.count == 0) {
-        relay_give_up(forward, STATUS_BAD_GATEWAY, "no endpoint");
+        give_up_unplaced(forward);
         return;
     }
     /* Only first attempts are refused for load: a retried request was already
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -67,6 +67,7 @@
     char **seeds;
     uint32_t min_load_interval_ms;
     GHashTable *by_address; /* struct peer, owned */
+    GPtrArray *addresses;   /* of all gateways in the store */
     GPtrArray *inbounds;    /* struct inbound, freed when the link ends */
     struct loop_timer *heartbeat_timer;
     struct loop_timer *load_timer;
@@ -407,7 +408,16 @@
     peers->gateway_count = g_hash_table_size(peers->by_address) + 1;
     update_followers(peers, addresses);
     update_local_rank(peers);
-    g_ptr_array_free(addresses, TRUE);
+    g_ptr_array_free(peers->addresses, TRUE);
+    peers->addresses = addresses;
+}
+
+uint32_t
+peers_limit_sharers(const struct peers *peers, const char *endpoint)
+{
+    return endpoint_limit_sharers(endpoint, peers->own_address,
+                                  (const char *const *)peers->addresses->pdata,
+                                  peers->addresses->len);
 }
 
 void
@@ -468,8 +478,8 @@
         LOG_WARN("can't decode a peer's load", "peer=%s", inbound->instance);
         return;
     }
-    endpoints_set_peer_load(inbound->peers->endpoints, inbound->instance,
-                            rows);
+    endpoints_set_peer_load(inbound->peers->endpoints, inbound->instance, rows,
+                            loop_now_ms(inbound->peers->loop));
 }
 
 static void
@@ -515,7 +525,7 @@
     (void)why;
     if (inbound->instance != NULL) {
         endpoints_set_peer_load(inbound->peers->endpoints, inbound->instance,
-                                NULL);
+                                NULL, loop_now_ms(inbound->peers->loop));
     }
     link_destroy(link);
     g_ptr_array_remove_fast(inbound->peers->inbounds, inbound);
@@ -626,6 +636,7 @@
     peers->min_load_interval_ms = settings->min_load_interval_ms;
     peers->by_address =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    peers->addresses = g_ptr_array_new();
     peers->inbounds = g_ptr_array_new();
     peers->heartbeat_timer =
         loop_timer_create(loop, on_heartbeat_timer, peers);
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -11,6 +11,7 @@
 #include "gateway/directory.h"
 #include "gateway/forward_state.h"
 #include "gateway/gateway_counters.h"
+#include "gateway/peers.h"
 #include "gateway/response_head.h"
 #include "gateway/upstreams.h"
 #include "io/http_message.h"
@@ -184,12 +185,14 @@
              const struct response_metadata *metadata)
 {
     struct endpoint *endpoint = forward->assignment.placement.engines[0];
+    double before_per_s = endpoint->limit.per_s;
 
-    if (endpoint->limit_per_s != metadata->limit_per_s) {
+    if (endpoint_limit_observe(&endpoint->limit, metadata->limit_per_s,
+                               forward_now_ms(forward))) {
         LOG_INFO("endpoint names another limit",
                  "endpoint=%s limit_per_s=%.3f before=%.3f", endpoint->id,
-                 metadata->limit_per_s, endpoint->limit_per_s);
-        endpoint->limit_per_s = metadata->limit_per_s;
+                 metadata->limit_per_s, before_per_s);
+        peers_load_changed(forward_peers(forward));
     }
 }
 
--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -12,7 +12,7 @@
     tests "$copy"/
 cmake -S "$copy" -B "$copy/build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
     -DCMAKE_C_FLAGS=-Wno-error >/dev/null
-targets="session_runner placement_runner quarantine_runner test_directory test_gateway_core \
+targets="session_runner placement_runner quarantine_runner limit_runner test_directory test_gateway_core \
     test_callers test_dispatch_random test_binding_random \
     test_binding test_message test_store_follow test_followers \
     test_upstreams test_front test_numbers \
--- a/tests/faults/gateway_limit.sh
+++ b/tests/faults/gateway_limit.sh
@@ -34,8 +34,11 @@
 
 worker_control 1 "limit?milli=$LIMIT_MILLI"
 send_many 10
-wait_log gateway-1 'endpoint=worker-1 limit_per_s=1.500'
-wait_log gateway-2 'endpoint=worker-1 limit_per_s=1.500'
+knows_limit() {
+    [ "$(gateway_metric "$1" limited_endpoints)" = 1 ]
+}
+wait_until knows_limit 1
+wait_until knows_limit 2
 from_ms=$(($(last_run_ms) + 1))
 send_many 150
 allowed=$((LIMIT_MILLI * 4 * 3 / 2 / 1000 + 5))
--- a/tests/unit/test_gateway_core.c
+++ b/tests/unit/test_gateway_core.c
@@ -332,7 +332,7 @@
     endpoint_add_work(endpoints_find(remote, "a"), &work);
     peer_load_encode(remote, 0, bytes);
     endpoints_set_peer_load(local, "there",
-                            peer_load_decode(bytes->data, bytes->len));
+                            peer_load_decode(bytes->data, bytes->len), 0);
     endpoint_load(endpoints_find(local, "a"), 0, &load);
     g_assert_cmpuint(load.requests, ==, 1);
     g_assert_cmpuint(load.tokens, ==, 5000);
@@ -343,7 +343,7 @@
     for (guint i = 1; i < bytes->len; i++) {
         g_assert_null(peer_load_decode(bytes->data, i));
     }
-    endpoints_set_peer_load(local, "there", NULL);
+    endpoints_set_peer_load(local, "there", NULL, 0);
     endpoint_load(endpoints_find(local, "a"), 0, &load);
     g_assert_cmpuint(load.requests, ==, 0);
     g_byte_array_unref(bytes);
@@ -405,7 +405,7 @@
         if (rows != NULL) {
             struct endpoints *endpoints = endpoints_create();
 
-            endpoints_set_peer_load(endpoints, "peer", rows);
+            endpoints_set_peer_load(endpoints, "peer", rows, 0);
             endpoints_destroy(endpoints);
         }
         store_items_destroy(store_items_decode(bytes, count));
