Gateway: an endpoint that says it is leaving gets no new requests

A worker that leaves says so in its answers; some never register as draining. Requests went on to it until its entry was gone, and were broken off when it ended.

The gateway leaves it out from the first such answer on.

--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -26,6 +26,7 @@
     bool not_executed;     /* the endpoint has not run the request and won't */
     bool misdirected;      /* from another instance than the one asked for */
     uint32_t keep_alive_s; /* idle timeout of the connection; 0: not given */
+    bool leaving;          /* the endpoint takes no new requests any more */
     bool has_load;
     uint32_t load_requests; /* running and waiting at the endpoint */
     /* Requests a second that the endpoint takes from all gateways together; 0:
--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -109,6 +109,18 @@
     return true;
 }
 
+/* What an instance has said of itself, and its failures, don't hold for the
+   next one with its id. */
+static void
+forget_instance(struct endpoint *endpoint)
+{
+    endpoint->leaving = false;
+    endpoint->limit = (struct endpoint_limit){0};
+    endpoint->unseen_requests = 0;
+    endpoint->consecutive_failures = 0;
+    endpoint->avoid_until_ms = 0;
+}
+
 static bool
 update_registration(struct endpoint *endpoint,
                     const struct endpoint_registration *registration)
@@ -120,6 +132,12 @@
     changed |= endpoint->port != registration->port ||
                endpoint->slots != registration->slots ||
                endpoint->draining != registration->draining;
+    if (registration->born_ms != 0 &&
+        registration->born_ms != endpoint->born_ms) {
+        forget_instance(endpoint);
+        endpoint->born_ms = registration->born_ms;
+        changed = true;
+    }
     endpoint->port = registration->port;
     endpoint->slots = registration->slots;
     endpoint->draining = registration->draining;
@@ -243,7 +261,8 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct endpoint *endpoint = value;
 
-        if (endpoint->draining || strcmp(endpoint->service, service) != 0) {
+        if (endpoint->draining || endpoint->leaving ||
+            strcmp(endpoint->service, service) != 0) {
             continue;
         }
         g_ptr_array_add(all, endpoint);
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -23,7 +23,8 @@
     uint16_t port;
     const char *data_centre;
     uint32_t slots;
-    bool draining; /* finishes its requests and gets no new ones */
+    bool draining;    /* finishes its requests and gets no new ones */
+    uint64_t born_ms; /* start of the instance (Unix time); 0: not given */
 };
 
 /* Load at an endpoint, from one gateway or summed over several. */
@@ -57,7 +58,9 @@
     char *data_centre;
     uint32_t slots;
     bool draining;
-    bool registered;    /* false: removed, but still referenced */
+    uint64_t born_ms;
+    bool leaving;    /* its answers say so, whatever its registration says */
+    bool registered; /* false: removed, but still referenced */
     GPtrArray *running; /* struct endpoint_work *, not owned, oldest first */
     /* When a prefill that this gateway placed here last ended. */
     uint64_t last_prefill_end_ms;
@@ -100,8 +103,8 @@
 
 /* Endpoints of a service that may get new requests, as an array of struct
    endpoint * that the caller frees; it holds no references. Leaves out
-   draining endpoints, and those with recent failures unless these are more
-   than half. */
+   draining and leaving endpoints, and those with recent failures unless these
+   are more than half. */
 GPtrArray *endpoints_usable(const struct endpoints *endpoints,
                             const char *service, uint64_t now_ms);
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -196,6 +196,18 @@
     }
 }
 
+static void
+record_leaving(const struct forward *forward,
+               const struct response_metadata *metadata)
+{
+    struct endpoint *endpoint = forward->assignment.placement.engines[0];
+
+    if (metadata->leaving && !endpoint->leaving) {
+        endpoint->leaving = true;
+        LOG_INFO("endpoint is leaving", "endpoint=%s", endpoint->id);
+    }
+}
+
 static void
 on_head(void *data, const struct http_head *head)
 {
@@ -212,6 +224,7 @@
     if (!metadata.misdirected) {
         record_load(forward, &metadata, head->status);
         record_limit(forward, &metadata);
+        record_leaving(forward, &metadata);
     }
     if (metadata.not_executed) {
         forward_end_attempt(forward, ATTEMPT_REJECTED,
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -26,7 +26,7 @@
 };
 
 enum {
-    FAKE_MAX_HEADERS = 4
+    FAKE_MAX_HEADERS = 6
 };
 
 struct fake_response {
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -6,13 +6,14 @@
    (runs requests and responds with 500), memory?tokens=N (KV memory that can
    be reserved), cut?after=N (streams end in the middle of the event after N
    whole ones, as complete HTTP responses; with &break=1 their connection
-   breaks there), silent?on=1 (runs requests and
-   doesn't respond), empty?on=1 (streams have neither a length nor chunks and
-   end before their first event), crash?part=ID (the process exits when it
-   begins the stream of a request with that part in its Prompt-Prefix; with
-   &stay=1 it breaks the connection instead), limit?milli=N (answers name a
-   limit of N thousandths of a request a second; 0: none), stats. A request may
-   ask for another number of events (?events=N) or for a slower response
+   breaks there), leaving?on=1 (answers say that
+   the worker is leaving), silent?on=1 (runs requests and doesn't respond),
+   empty?on=1 (streams have neither a length nor chunks and end before their
+   first event), crash?part=ID (the process exits when it begins the stream of
+   a request with that part in its Prompt-Prefix; with &stay=1 it breaks the
+   connection instead), limit?milli=N (answers name a limit of N thousandths of
+   a request a second; 0: none), stats. A request may ask for another number of
+   events (?events=N) or for a slower response
    (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
@@ -46,6 +47,7 @@
     bool full;
     bool fail;
     const char *limit; /* Server-Limit; NULL: none */
+    bool leaving;
     bool silent;
     bool empty;
     uint64_t cut_after;
@@ -286,6 +288,10 @@
 {
     response->headers[1] = (struct fake_header_line){
         "Attempt-Id", header_or_dash(request, "Attempt-Id")};
+    if (worker->leaving) {
+        response->headers[4] =
+            (struct fake_header_line){"Server-Leaving", "1"};
+    }
     if (worker->limit != NULL) {
         response->headers[3] =
             (struct fake_header_line){"Server-Limit", worker->limit};
@@ -357,6 +363,9 @@
     else if (strcmp(command, "limit") == 0) {
         set_limit(worker, fake_query_number(request, "milli", 0));
     }
+    else if (strcmp(command, "leaving") == 0) {
+        worker->leaving = on;
+    }
     else if (strcmp(command, "empty") == 0) {
         worker->empty = on;
     }
