Gateway: Retry-After of an endpoint's refusal is kept

A worker that turns a request away with 503 may say how long it wants nothing from this gateway; the next requests were placed there as soon as its reported load had faded.

--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -27,6 +27,9 @@
     bool misdirected;      /* from another instance than the one asked for */
     uint32_t keep_alive_s; /* idle timeout of the connection; 0: not given */
     bool leaving;          /* the endpoint takes no new requests any more */
+    /* How long the endpoint, which has refused the request, wants no further
+       ones of this gateway; 0: not given. */
+    uint32_t retry_after_ms;
     bool has_load;
     uint32_t load_requests; /* running and waiting at the endpoint */
     /* Requests a second that the endpoint takes from all gateways together; 0:
--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -116,6 +116,7 @@
 {
     endpoint->leaving = false;
     endpoint->limit = (struct endpoint_limit){0};
+    endpoint->closed_until_ms = 0;
     endpoint->unseen_requests = 0;
     endpoint->consecutive_failures = 0;
     endpoint->avoid_until_ms = 0;
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -70,6 +70,9 @@
     uint32_t unseen_requests;
     uint64_t unseen_ms;
     struct endpoint_limit limit;
+    /* The endpoint has asked for no requests of this gateway before; 0: it has
+       not. */
+    uint64_t closed_until_ms;
     uint32_t consecutive_failures;
     uint64_t avoid_until_ms; /* no new requests before; 0: no limit */
     guint references;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -206,22 +206,36 @@
     return false;
 }
 
-/* Whether an endpoint's limit leaves room for the request. If not, the request
-   waits for it at most so long, in case no other endpoint can serve it. */
+/* How long an endpoint wants no request of this gateway. */
+static uint64_t
+endpoint_wait_ms(const struct forward *forward,
+                 const struct endpoint *endpoint)
+{
+    uint64_t now_ms = forward_now_ms(forward);
+    uint64_t wait_ms =
+        endpoint->closed_until_ms - MIN(now_ms, endpoint->closed_until_ms);
+
+    if (endpoint->limit.per_s == 0.0) {
+        return wait_ms;
+    }
+    return MAX(wait_ms,
+               endpoint_limit_wait_ms(
+                   &endpoint->limit,
+                   peers_limit_sharers(forward_peers(forward), endpoint->id),
+                   now_ms));
+}
+
+/* Leaves out endpoints that want no request now, and keeps the shortest time
+   until one does, in case no other endpoint can serve the request. */
 static bool
 may_send_to(void *data, const struct endpoint *endpoint)
 {
     struct forward *forward = data;
-    uint64_t wait_ms;
+    uint64_t wait_ms = endpoint_wait_ms(forward, endpoint);
 
-    if (endpoint->limit.per_s == 0.0) {
-        return true;
+    if (wait_ms > 0) {
+        forward->endpoint_wait_ms = MIN(forward->endpoint_wait_ms, wait_ms);
     }
-    wait_ms = endpoint_limit_wait_ms(
-        &endpoint->limit,
-        peers_limit_sharers(forward_peers(forward), endpoint->id),
-        forward_now_ms(forward));
-    forward->limit_wait_ms = MIN(forward->limit_wait_ms, wait_ms);
     return wait_ms == 0;
 }
 
@@ -397,11 +411,11 @@
 static void
 give_up_unplaced(struct forward *forward)
 {
-    if (forward->limit_wait_ms < UINT64_MAX) {
+    if (forward->endpoint_wait_ms < UINT64_MAX) {
         forward->expected_wait_ms =
-            (uint32_t)MIN(forward->limit_wait_ms, UINT32_MAX);
+            (uint32_t)MIN(forward->endpoint_wait_ms, UINT32_MAX);
         relay_give_up(forward, STATUS_BAD_GATEWAY,
-                      "endpoints are at the limits that they name");
+                      "all endpoints want no requests now");
         return;
     }
     relay_give_up(forward, STATUS_BAD_GATEWAY, "no endpoint");
@@ -425,7 +439,7 @@
                       "a part of the prompt crashes endpoints");
         return;
     }
-    forward->limit_wait_ms = UINT64_MAX;
+    forward->endpoint_wait_ms = UINT64_MAX;
     fill_placement_request(forward, &request);
     choose_endpoints(forward, &request);
     if (assignment->placement.count == 0) {
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -65,8 +65,9 @@
     uint32_t unreachable; /* endpoints that gave no connection or no hold */
     bool may_have_run;
     uint32_t expected_wait_ms; /* until it could be placed; 0: unknown */
-    /* Until an endpoint's limit has room; UINT64_MAX: none is in the way. */
-    uint64_t limit_wait_ms;
+    /* Until an endpoint takes requests that takes none now; UINT64_MAX: there
+       is none. */
+    uint64_t endpoint_wait_ms;
     /* The response to the caller. */
     enum response_state response;
     uint32_t status;
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -196,6 +196,19 @@
     }
 }
 
+static void
+record_retry_after(const struct forward *forward,
+                   const struct response_metadata *metadata)
+{
+    struct endpoint *endpoint = forward->assignment.placement.engines[0];
+
+    if (metadata->retry_after_ms > 0) {
+        endpoint->closed_until_ms =
+            MAX(endpoint->closed_until_ms,
+                forward_now_ms(forward) + metadata->retry_after_ms);
+    }
+}
+
 static void
 record_leaving(const struct forward *forward,
                const struct response_metadata *metadata)
@@ -225,6 +238,7 @@
         record_load(forward, &metadata, head->status);
         record_limit(forward, &metadata);
         record_leaving(forward, &metadata);
+        record_retry_after(forward, &metadata);
     }
     if (metadata.not_executed) {
         forward_end_attempt(forward, ATTEMPT_REJECTED,
