Messages: an empty text is decoded without a pointer that msgpack does not give

A peer may send an empty text. msgpack has no pointer for it if no longer item came before, and the search for a NUL in it read from NULL, by its length of 0.

--- a/core/message.c
+++ b/core/message.c
@@ -203,6 +203,11 @@
         return false;
     }
     length = object->via.str.size;
+    /* msgpack may have no pointer for an empty text. */
+    if (length == 0) {
+        out[0] = '\0';
+        return true;
+    }
     if (length >= out_bytes ||
         memchr(object->via.str.ptr, '\0', length) != NULL) {
         return false;
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -94,6 +94,27 @@
     g_byte_array_unref(frame);
 }
 
+/* msgpack has no pointer for an empty text before which no longer item came. A
+   peer may send one. Found by test_mutations with seed 9. */
+static void
+test_empty_text(void)
+{
+    const struct message hello = {.type = MESSAGE_HELLO,
+                                  .version = MESSAGE_VERSION,
+                                  .instance = "",
+                                  .data_centre = "split-a"};
+    GByteArray *frame = g_byte_array_new();
+    struct message out;
+    const char *why = NULL;
+
+    message_encode(&hello, frame);
+    g_assert_true(message_decode(frame->data + FRAME_LENGTH_BYTES,
+                                 frame->len - FRAME_LENGTH_BYTES, &out, &why));
+    g_assert_cmpstr(out.instance, ==, "");
+    g_assert_cmpstr(out.data_centre, ==, "split-a");
+    g_byte_array_unref(frame);
+}
+
 /* Valid frames with random changes: each is refused, or decoded to values in
    range, without a crash. */
 static void
@@ -172,6 +193,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/message/round-trip", test_round_trip);
     g_test_add_func("/message/truncated", test_truncated);
+    g_test_add_func("/message/empty-text", test_empty_text);
     g_test_add_func("/message/mutated", test_mutated);
     g_test_add_func("/message/too-long-text", test_too_long_text);
     g_test_add_func("/message/huge-array", test_huge_array);
