--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -337,14 +337,15 @@
         .max_connections = MAX(forward->admitted.service->max_connections /
                                    peers_count(forward->forwarder->deps.peers),
                                1)};
-
     struct endpoint *endpoint = forward->assignment.placement.engines[0];
 
     gateway_counters_count(COUNT_ATTEMPTS);
-    endpoint_limit_take(
-        &endpoint->limit,
-        peers_limit_sharers(forward_peers(forward), endpoint->id),
-        forward_now_ms(forward));
+    if (endpoint->limit.per_s > 0.0) {
+        endpoint_limit_take(
+            &endpoint->limit,
+            peers_limit_sharers(forward_peers(forward), endpoint->id),
+            forward_now_ms(forward));
+    }
     forward->attempts++;
     forward->paused = false;
     forward->upstream =
--- a/tests/limit_runner.c
+++ b/tests/limit_runner.c
@@ -21,9 +21,9 @@
 
 #include "core/endpoints.h"
 #include "core/peer_load.h"
+#include "tests/script.h"
 
 enum {
-    LINE_BYTES = 256,
     WINDOW_MS = 4000,
 };
 
@@ -39,13 +39,6 @@
     uint64_t now_ms;
 };
 
-static void
-fail(const char *what)
-{
-    fprintf(stderr, "script error: %s\n", what);
-    exit(EXIT_FAILURE);
-}
-
 static void
 add_gateway(struct runner *runner)
 {
@@ -76,8 +69,7 @@
             return gateway;
         }
     }
-    fail("no such gateway");
-    return NULL;
+    script_error("no such gateway");
 }
 
 static uint32_t
@@ -154,8 +146,10 @@
 }
 
 static void
-run_line(struct runner *runner, char *const *words)
+run_line(void *data, char *const *words)
 {
+    struct runner *runner = data;
+
     if (strcmp(words[0], "gateways") == 0) {
         for (uint64_t i = strtoull(words[1], NULL, 10); i > 0; i--) {
             add_gateway(runner);
@@ -186,7 +180,7 @@
                                                      runner->now_ms));
     }
     else {
-        fail(words[0]);
+        script_error(words[0]);
     }
 }
 
@@ -209,22 +203,8 @@
 {
     struct runner runner = {.gateways = g_ptr_array_new(),
                             .names = g_ptr_array_new()};
-    char line[LINE_BYTES];
-    FILE *script = argc == 2 ? fopen(argv[1], "r") : NULL;
 
-    if (script == NULL) {
-        fail("usage: limit_runner SCRIPT");
-        return EXIT_FAILURE;
-    }
-    while (fgets(line, sizeof(line), script) != NULL) {
-        char **words = g_strsplit(g_strstrip(line), " ", 0);
-
-        if (words[0] != NULL && words[0][0] != '#' && words[0][0] != '\0') {
-            run_line(&runner, words);
-        }
-        g_strfreev(words);
-    }
-    fclose(script);
+    script_run(argc, argv, run_line, &runner);
     clear(&runner);
     return EXIT_SUCCESS;
 }
--- a/tests/quarantine_runner.c
+++ b/tests/quarantine_runner.c
@@ -23,9 +23,9 @@
 
 #include "core/crash_report.h"
 #include "core/quarantine.h"
+#include "tests/script.h"
 
 enum {
-    LINE_BYTES = 256,
     MAX_GATEWAYS = 8,
     PERIOD_MS = 600000,
 };
@@ -43,13 +43,6 @@
     uint64_t now_ms;
 };
 
-static void
-fail(const char *what)
-{
-    fprintf(stderr, "script error: %s\n", what);
-    exit(EXIT_FAILURE);
-}
-
 static void
 deliver(struct runner *runner, struct quarantine *gateway, guint index)
 {
@@ -97,7 +90,7 @@
         name != NULL && name[0] == 'g' ? strtoull(name + 1, NULL, 10) : 0;
 
     if (number == 0 || number > runner->gateway_count) {
-        fail("no such gateway");
+        script_error("no such gateway");
     }
     return runner->gateways[number - 1];
 }
@@ -159,8 +152,10 @@
 }
 
 static void
-run_line(struct runner *runner, char *const *words)
+run_line(void *data, char *const *words)
 {
+    struct runner *runner = data;
+
     if (strcmp(words[0], "gateways") == 0) {
         runner->gateway_count =
             MIN((uint32_t)strtoul(words[1], NULL, 10), MAX_GATEWAYS);
@@ -189,7 +184,7 @@
         start_gateways(runner);
     }
     else {
-        fail(words[0]);
+        script_error(words[0]);
     }
 }
 
@@ -213,22 +208,8 @@
 main(int argc, char **argv)
 {
     struct runner runner = {.records = g_ptr_array_new()};
-    char line[LINE_BYTES];
-    FILE *script = argc == 2 ? fopen(argv[1], "r") : NULL;
 
-    if (script == NULL) {
-        fail("usage: quarantine_runner SCRIPT");
-        return EXIT_FAILURE;
-    }
-    while (fgets(line, sizeof(line), script) != NULL) {
-        char **words = g_strsplit(g_strstrip(line), " ", 0);
-
-        if (words[0] != NULL && words[0][0] != '#' && words[0][0] != '\0') {
-            run_line(&runner, words);
-        }
-        g_strfreev(words);
-    }
-    fclose(script);
+    script_run(argc, argv, run_line, &runner);
     clear(&runner);
     return EXIT_SUCCESS;
 }
