Crash reports: empty texts are malformed

A report in the store whose endpoint or part is an empty text ended each gateway that read it: an empty text is read as NULL. Found by reading; test_mutations (/mutations/crash-reports) ended with a segmentation fault before, and passes.

--- a/core/crash_report.c
+++ b/core/crash_report.c
@@ -1,6 +1,7 @@
 #include "core/crash_report.h"
 
 #include <glib.h>
+#include <stdbool.h>
 #include <string.h>
 
 #include "core/flat_items.h"
@@ -77,18 +78,21 @@
     char *endpoint = flat_items_read_text(&reader);
     struct crash_report *report =
         crash_report_create(endpoint, flat_items_read_number(&reader));
+    bool valid = endpoint != NULL;
 
     g_free(endpoint);
-    while (!flat_items_at_end(&reader)) {
+    while (valid && !flat_items_at_end(&reader)) {
         char *id = flat_items_read_text(&reader);
         uint32_t depth = (uint32_t)flat_items_read_number(&reader);
 
-        if (!reader.failed) {
+        /* NULL: missing or empty. */
+        valid = id != NULL && !reader.failed;
+        if (valid) {
             crash_report_add(report, id, depth);
         }
         g_free(id);
     }
-    if (reader.failed) {
+    if (!valid || reader.failed) {
         crash_report_destroy(report);
         return NULL;
     }
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -18,10 +18,12 @@
 #include "core/claim.h"
 #include "core/config.h"
 #include "core/config_head.h"
+#include "core/crash_report.h"
 #include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "core/message.h"
 #include "core/peer_load.h"
+#include "core/quarantine.h"
 #include "core/tables.h"
 #include "entry/prompt.h"
 #include "io/http_connection.h"
@@ -413,6 +415,40 @@
     endpoints_destroy(endpoints);
 }
 
+/* As another gateway of this one's store would take the report. */
+static void
+parse_crash_report(const GByteArray *input)
+{
+    struct crash_report *report = crash_report_decode(input->data, input->len);
+    struct quarantine *quarantine = quarantine_create(1000);
+
+    if (report != NULL) {
+        quarantine_add_report(quarantine, report, 1, 1);
+        quarantine_add_report(quarantine, report, 2, 1);
+    }
+    quarantine_destroy(quarantine);
+    crash_report_destroy(report);
+}
+
+static void
+test_crash_reports(void)
+{
+    /* Empty texts. */
+    static const uint8_t no_endpoint[] = {0xa0, 1};
+    static const uint8_t no_part[] = {0xa1, 'e', 1, 0xa0, 0};
+    struct crash_report *report = crash_report_create("e", 1);
+    GByteArray *sample = g_byte_array_new();
+
+    crash_report_add(report, "aa", 0);
+    crash_report_add(report, "bb", 1);
+    crash_report_encode(report, sample);
+    feed(sample->data, sample->len, parse_crash_report);
+    feed(no_endpoint, sizeof(no_endpoint), parse_crash_report);
+    feed(no_part, sizeof(no_part), parse_crash_report);
+    g_byte_array_unref(sample);
+    crash_report_destroy(report);
+}
+
 static void
 parse_frame(const GByteArray *input)
 {
@@ -597,6 +633,7 @@
     g_test_add_func("/mutations/events", test_events);
     g_test_add_func("/mutations/store-items", test_store_items);
     g_test_add_func("/mutations/peer-load", test_peer_load);
+    g_test_add_func("/mutations/crash-reports", test_crash_reports);
     g_test_add_func("/mutations/frames", test_frames);
     g_test_add_func("/mutations/platform-config", test_platform_config);
     g_test_add_func("/mutations/registrations", test_registrations);
