Quarantine: announcements that come before the crash reports count

A gateway that starts takes the store's items from another one in no order. The announcement that a part is served was dropped if no report of it was known yet, so that a part that all prompts share could be refused by the new gateway alone, and stay so: it sends nothing that could show the contrary. Found by reading; quarantine_restart_in_any_order refused the part before ('refused for aa') and sends it now.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -18,7 +18,8 @@
        the part is put under quarantine. */
     CONTRADICTED_CRASHES = QUARANTINE_CRASHES - 1,
     MAX_CRASHES = 256,
-    MAX_SERVED = 4096, /* entries above which old ones are removed */
+    MAX_SERVED = 4096,    /* entries above which old ones are removed */
+    MAX_ANNOUNCED = 4096, /* entries at which all are forgotten */
 };
 
 /* A part that was at a crash. */
@@ -56,6 +57,9 @@
     GPtrArray *crashes; /* struct crash, in the order of added_ms */
     GHashTable *parts;  /* id to struct part */
     GHashTable *served; /* id to time of the last event */
+    /* Id to revision of the last announcement, also of parts that are at no
+       crash: the reports may come later. */
+    GHashTable *announced;
     uint64_t purged_ms; /* when old entries of served were removed */
     bool changed;       /* since the last update */
     uint32_t count;     /* of parts under quarantine */
@@ -93,6 +97,8 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_part);
     quarantine->served =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    quarantine->announced =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return quarantine;
 }
 
@@ -105,6 +111,7 @@
     g_ptr_array_free(quarantine->crashes, TRUE);
     g_hash_table_destroy(quarantine->parts);
     g_hash_table_destroy(quarantine->served);
+    g_hash_table_destroy(quarantine->announced);
     g_free(quarantine);
 }
 
@@ -155,10 +162,13 @@
                  const struct crash_report_part *reported)
 {
     struct part *part = g_hash_table_lookup(quarantine->parts, reported->id);
+    const uint64_t *announced =
+        g_hash_table_lookup(quarantine->announced, reported->id);
 
     if (part == NULL) {
         part = g_new0(struct part, 1);
         part->id = g_strdup(reported->id);
+        part->served_revision = announced != NULL ? *announced : 0;
         part->announced_crashes = g_ptr_array_new();
         part->crashes = g_ptr_array_new();
         g_hash_table_insert(quarantine->parts, part->id, part);
@@ -218,6 +228,11 @@
 {
     struct part *part = g_hash_table_lookup(quarantine->parts, id);
 
+    if (g_hash_table_size(quarantine->announced) >= MAX_ANNOUNCED) {
+        g_hash_table_remove_all(quarantine->announced);
+    }
+    g_hash_table_insert(quarantine->announced, g_strdup(id),
+                        g_memdup2(&revision, sizeof(revision)));
     if (part != NULL && revision > part->served_revision) {
         part->served_revision = revision;
         part->announced = false;
--- a/tests/quarantine_runner.c
+++ b/tests/quarantine_runner.c
@@ -12,7 +12,8 @@
      event GATEWAY PARTS      a prompt gets its first event
      tick                     the gateways announce what they know better
      ask GATEWAY PARTS        prints whether a prompt would be refused
-     restart                  all gateways start again and read the store
+     restart [reversed]       all gateways start again and read the store, in
+                              the order of the writes or the other way round
 
    Lines that begin with # are comments. */
 
@@ -72,13 +73,15 @@
 }
 
 static void
-start_gateways(struct runner *runner)
+start_gateways(struct runner *runner, bool reversed)
 {
+    guint count = runner->records->len;
+
     for (uint32_t i = 0; i < runner->gateway_count; i++) {
         quarantine_destroy(runner->gateways[i]);
         runner->gateways[i] = quarantine_create(PERIOD_MS);
-        for (guint r = 0; r < runner->records->len; r++) {
-            deliver(runner, runner->gateways[i], r);
+        for (guint r = 0; r < count; r++) {
+            deliver(runner, runner->gateways[i], reversed ? count - 1 - r : r);
         }
     }
 }
@@ -159,7 +162,7 @@
     if (strcmp(words[0], "gateways") == 0) {
         runner->gateway_count =
             MIN((uint32_t)strtoul(words[1], NULL, 10), MAX_GATEWAYS);
-        start_gateways(runner);
+        start_gateways(runner, false);
     }
     else if (strcmp(words[0], "at") == 0) {
         runner->now_ms = strtoull(words[1], NULL, 10);
@@ -181,7 +184,7 @@
         ask(runner, words);
     }
     else if (strcmp(words[0], "restart") == 0) {
-        start_gateways(runner);
+        start_gateways(runner, g_strcmp0(words[1], "reversed") == 0);
     }
     else {
         script_error(words[0]);
