Gateway: a refusal that names no limit does not end one

Answers name the limit; a refusal or an error that lacks the header was taken for its end, and all gateways were told so. Found by reading; faults_gateway_limit with refusals that name none: 'gateway-1 forgot the limit after a refusal' before, passes now.

--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -180,13 +180,17 @@
     }
 }
 
+/* That a refusal or an error names no limit does not end one. */
 static void
 record_limit(const struct forward *forward,
-             const struct response_metadata *metadata)
+             const struct response_metadata *metadata, uint32_t status)
 {
     struct endpoint *endpoint = forward->assignment.placement.engines[0];
     double before_per_s = endpoint->limit.per_s;
 
+    if (metadata->limit_per_s == 0.0 && status != STATUS_OK) {
+        return;
+    }
     if (endpoint_limit_observe(&endpoint->limit, metadata->limit_per_s,
                                forward_now_ms(forward))) {
         LOG_INFO("endpoint names another limit",
@@ -236,7 +240,7 @@
     }
     if (!metadata.misdirected) {
         record_load(forward, &metadata, head->status);
-        record_limit(forward, &metadata);
+        record_limit(forward, &metadata, head->status);
         record_leaving(forward, &metadata);
         record_retry_after(forward, &metadata);
     }
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -300,13 +300,13 @@
         response->headers[4] =
             (struct fake_header_line){"Server-Leaving", "1"};
     }
+    if (!admit(worker, request, response)) {
+        return;
+    }
     if (worker->limit != NULL) {
         response->headers[3] =
             (struct fake_header_line){"Server-Limit", worker->limit};
     }
-    if (!admit(worker, request, response)) {
-        return;
-    }
     worker->runs++;
     print_line("ran %lu %s %s %s\n", (unsigned long)fake_clock_ms(),
                header_or_dash(request, "Attempt-Id"),
--- a/tests/faults/gateway_limit.sh
+++ b/tests/faults/gateway_limit.sh
@@ -46,6 +46,17 @@
 [ "$most" -le "$allowed" ] ||
     fail "worker-1 got $most requests in 4 s, not $allowed at most"
 
+# A refusal that names no limit does not end it.
+worker_control 1 'full?on=1'
+is_refused_by_worker() {
+    send_many 5
+    [ "$(worker_stat 1 refused)" -ge 1 ]
+}
+wait_until is_refused_by_worker
+worker_control 1 'full?on=0'
+knows_limit 1 || fail "gateway-1 forgot the limit after a refusal"
+knows_limit 2 || fail "gateway-2 forgot the limit after a refusal"
+
 # Without other endpoints a request is refused at once, and told when to come
 # back.
 store_control 'remove?key=servers/worker-2'
