--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -19,9 +19,11 @@
     test_http_call test_agents test_log test_config"
 ninja -C "$copy/build" $targets >/dev/null
 
-# targets_of TESTS: tests on real processes need all programs.
+# targets_of TESTS: tests on real processes need the programs that they run.
+gateway_programs="dandelionfork-gateway fake_users_store fake_worker fake_endless"
 targets_of() {
     case $1 in
+    faults_gateway_*) echo "$gateway_programs" ;;
     *faults_*) echo all ;;
     *) echo "$targets" ;;
     esac
