--- a/tests/faults/gateway_retry.sh
+++ b/tests/faults/gateway_retry.sh
@@ -64,11 +64,14 @@
 # A stream without a length, chunks or any event has ended with its worker.
 worker_control 3 'cut?after=0'
 worker_control 3 'empty?on=1'
-for n in 1 2 3 4; do
+before=$(worker_stat 3 runs)
+reaches_worker_3() {
     expect "a stream that one worker ends at once" \
         "$(call "$GATEWAY" /stream/x -d prompt -H 'Token-Usage: 1000,400')" 200
     expect "events of the stream" "$(grep -c '^data: event' "$WORK/body")" 12
-done
+    [ "$(worker_stat 3 runs)" -gt "$before" ]
+}
+wait_until reaches_worker_3
 
 # A request whose endpoints can't be reached counts as not run.
 kill_and_reap worker-1
