Crash monitor: a check is made again while broken connections have not reported their end

A gateway that is late with its events could still count a connection to the crashed endpoint as open when the check was refused, and drop what it knew of the crash. Found by reading.

--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -22,6 +22,7 @@
     CHECK_DELAY_MS = 20,
     /* Time for an endpoint to accept or refuse the connection of a check. */
     CHECK_TIMEOUT_MS = 250,
+    MAX_CHECKS = 5, /* of one endpoint that refuses, while connections last */
     US_PER_MS = 1000,
 };
 
@@ -32,6 +33,7 @@
     struct crash_report *report;        /* sent if it has */
     struct http_connection *connection; /* NULL: not begun yet */
     struct loop_timer *timer;           /* begins the check, then ends it */
+    uint32_t count;                     /* of connections tried */
 };
 
 struct crash_monitor {
@@ -108,14 +110,28 @@
 /* Checks. */
 
 static void
-finish_check(struct check *check, bool crashed)
+arm_check(struct check *check, uint32_t delay_ms)
+{
+    loop_timer_arm(check->timer, loop_now_ms(check->monitor->loop) + delay_ms);
+}
+
+/* An endpoint that refuses a connection may still serve those that it has. If
+   there are any, they may also not have reported their end yet, and the check
+   is made again. */
+static void
+finish_check(struct check *check, bool refused)
 {
     struct crash_monitor *monitor = check->monitor;
+    bool connected =
+        upstreams_is_connected(monitor->upstreams, check->endpoint);
 
-    /* An endpoint that refuses more connections may still serve those that it
-       has. */
-    if (crashed &&
-        !upstreams_is_connected(monitor->upstreams, check->endpoint)) {
+    if (refused && connected && check->count < MAX_CHECKS) {
+        http_connection_destroy(check->connection);
+        check->connection = NULL;
+        arm_check(check, CHECK_DELAY_MS);
+        return;
+    }
+    if (refused && !connected) {
         send_report(monitor, check->report);
     }
     g_hash_table_remove(monitor->checks, check->endpoint->id);
@@ -145,6 +161,7 @@
     static const struct http_connection_settings settings = {0};
     struct crash_monitor *monitor = check->monitor;
 
+    check->count++;
     check->connection = http_connection_connect(
         monitor->loop, check->endpoint->ip, check->endpoint->port, &settings,
         &check_handlers, check);
@@ -152,8 +169,7 @@
         finish_check(check, errno == ECONNREFUSED);
         return;
     }
-    loop_timer_arm(check->timer,
-                   loop_now_ms(monitor->loop) + CHECK_TIMEOUT_MS);
+    arm_check(check, CHECK_TIMEOUT_MS);
 }
 
 static void
@@ -195,7 +211,7 @@
     check->endpoint = endpoint_ref(endpoint);
     check->report = create_report(monitor, endpoint->id);
     check->timer = loop_timer_create(monitor->loop, on_check_timer, check);
-    loop_timer_arm(check->timer, loop_now_ms(monitor->loop) + CHECK_DELAY_MS);
+    arm_check(check, CHECK_DELAY_MS);
     g_hash_table_insert(monitor->checks, check->endpoint->id, check);
     return check;
 }
--- a/tests/faults/gateway_crashing_part.sh
+++ b/tests/faults/gateway_crashing_part.sh
@@ -66,6 +66,7 @@
 done
 for n in 1 2 3 4 5 6; do
     prompt "$GATEWAY" "aa01:40,bad2:500,d$n:460" >"$WORK/status"
+    expect "a sound prompt" "$(prompt "$GATEWAY" "aa01:40,dd1:500,d$n:460")" 200
 done
 for slot in $SLOTS; do
     worker_control "$slot" 'crash?part=bad1'
