--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -49,14 +49,14 @@
     uint32_t depth;           /* place in the prompt, from 0 */
     uint64_t served_revision; /* of the last announcement; 0: none */
     uint64_t served_ms;       /* last event at this gateway; 0: none */
-    bool announced;           /* returned by quarantine_contradicted() */
+    bool contradicted;        /* returned by quarantine_contradicted() */
     bool quarantined;
     uint64_t until_ms; /* end of the quarantine */
     uint64_t try_ms;   /* when a request may be sent nevertheless */
     uint64_t tried_ms; /* when one was; 0: never */
     /* Crashes that count for the part, in the order of crashed_ms: by the
        announcements, and by this gateway's own events as well. */
-    GPtrArray *announced_crashes;
+    GPtrArray *reported_crashes;
     GPtrArray *crashes;
 };
 
@@ -78,7 +78,7 @@
 {
     struct part *part = data;
 
-    g_ptr_array_free(part->announced_crashes, TRUE);
+    g_ptr_array_free(part->reported_crashes, TRUE);
     g_ptr_array_free(part->crashes, TRUE);
     g_free(part->id);
     g_free(part);
@@ -177,7 +177,7 @@
         part = g_new0(struct part, 1);
         part->id = g_strdup(reported->id);
         part->served_revision = announced != NULL ? *announced : 0;
-        part->announced_crashes = g_ptr_array_new();
+        part->reported_crashes = g_ptr_array_new();
         part->crashes = g_ptr_array_new();
         g_hash_table_insert(quarantine->parts, part->id, part);
     }
@@ -236,7 +236,11 @@
                       uint64_t revision)
 {
     struct part *part = g_hash_table_lookup(quarantine->parts, id);
+    const uint64_t *last = g_hash_table_lookup(quarantine->announced, id);
 
+    if (last != NULL && revision <= *last) {
+        return;
+    }
     if (g_hash_table_size(quarantine->announced) >= MAX_ANNOUNCED) {
         g_hash_table_remove_all(quarantine->announced);
     }
@@ -244,7 +248,7 @@
                         g_memdup2(&revision, sizeof(revision)));
     if (part != NULL && revision > part->served_revision) {
         part->served_revision = revision;
-        part->announced = false;
+        part->contradicted = false;
         quarantine->changed = true;
     }
 }
@@ -341,7 +345,7 @@
         if (suspicion->revision <= part->served_revision) {
             continue;
         }
-        g_ptr_array_add(part->announced_crashes, crash);
+        g_ptr_array_add(part->reported_crashes, crash);
         if (suspicion->added_ms > part->served_ms) {
             g_ptr_array_add(part->crashes, crash);
         }
@@ -387,7 +391,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct part *part = value;
 
-        g_ptr_array_set_size(part->announced_crashes, 0);
+        g_ptr_array_set_size(part->reported_crashes, 0);
         g_ptr_array_set_size(part->crashes, 0);
         part->quarantined = false;
     }
@@ -398,7 +402,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct part *part = value;
 
-        g_ptr_array_sort(part->announced_crashes, compare_crashed_ms);
+        g_ptr_array_sort(part->reported_crashes, compare_crashed_ms);
         g_ptr_array_sort(part->crashes, compare_crashed_ms);
     }
 }
@@ -589,11 +593,11 @@
         struct part *part = value;
 
         /* An own event removes earlier crashes from part->crashes alone. */
-        if (!part->announced &&
-            part->crashes->len < part->announced_crashes->len &&
-            count_crashes(part->announced_crashes, NULL) >=
+        if (!part->contradicted &&
+            part->crashes->len < part->reported_crashes->len &&
+            count_crashes(part->reported_crashes, NULL) >=
                 CONTRADICTED_CRASHES) {
-            part->announced = true;
+            part->contradicted = true;
             g_ptr_array_add(contradicted, g_strdup(part->id));
         }
     }
