Quarantine: announcements last as long as the reports, and gateways try a part in turn

An announcement that a part is served is written under a lease of its own, which can end before those of the reports: a gateway that starts in between would refuse a part that all prompts share, and the gateway whose turn it is to try the part does not refuse it. Found by reading; faults_gateway_crashing_part waited in vain for the announcement that the store had lost.

When an announcement is removed, the first gateway by rendezvous writes it again while there are reports of the part.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -52,8 +52,11 @@
     bool contradicted;        /* returned by quarantine_contradicted() */
     bool quarantined;
     uint64_t until_ms; /* end of the quarantine */
-    uint64_t try_ms;   /* when a request may be sent nevertheless */
-    uint64_t tried_ms; /* when one was; 0: never */
+    /* A request may be sent nevertheless so long after the last crash or the
+       last such request, by the gateway of rank 0. */
+    uint64_t try_interval_ms;
+    uint64_t last_crash_ms;
+    uint64_t tried_ms; /* 0: never */
     /* Crashes that count for the part, in the order of crashed_ms: by the
        announcements, and by this gateway's own events as well. */
     GPtrArray *reported_crashes;
@@ -504,7 +507,6 @@
     const struct crash *deciding;
     const struct crash *last;
     uint32_t beyond = part->crashes->len - QUARANTINE_CRASHES;
-    uint64_t interval_ms = (uint64_t)TRY_MS << MIN(beyond, MAX_TRY_DOUBLINGS);
 
     for (guint i = 0; i < part->crashes->len; i++) {
         struct crash *crash = g_ptr_array_index(part->crashes, i);
@@ -514,7 +516,8 @@
     g_ptr_array_sort(part->crashes, compare_added_ms);
     deciding = g_ptr_array_index(part->crashes, beyond);
     last = g_ptr_array_index(part->crashes, part->crashes->len - 1);
-    part->try_ms = MAX(last->added_ms, part->tried_ms) + interval_ms;
+    part->try_interval_ms = (uint64_t)TRY_MS << MIN(beyond, MAX_TRY_DOUBLINGS);
+    part->last_crash_ms = last->added_ms;
     part->quarantined = true;
     part->until_ms = deciding->added_ms + quarantine->period_ms;
 }
@@ -568,18 +571,25 @@
 }
 
 bool
-quarantine_try(struct quarantine *quarantine, const char *id, uint64_t now_ms)
+quarantine_try(struct quarantine *quarantine, const char *id, uint32_t rank,
+               uint64_t now_ms)
 {
     struct part *part = g_hash_table_lookup(quarantine->parts, id);
 
-    if (part == NULL || now_ms < part->try_ms) {
+    if (part == NULL || now_ms < MAX(part->last_crash_ms, part->tried_ms) +
+                                     part->try_interval_ms * (rank + 1)) {
         return false;
     }
     part->tried_ms = now_ms;
-    quarantine->changed = true;
     return true;
 }
 
+bool
+quarantine_is_reported(const struct quarantine *quarantine, const char *id)
+{
+    return g_hash_table_contains(quarantine->parts, id);
+}
+
 GPtrArray *
 quarantine_contradicted(struct quarantine *quarantine, uint64_t now_ms)
 {
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -60,9 +60,16 @@
 /* Whether one request with a part under quarantine may be sent now, to find
    out whether it is still to blame; if so, that counts as done. It is due some
    time after the part's last crash, which doubles with each crash beyond
-   QUARANTINE_CRASHES. One gateway tries for all. */
+   QUARANTINE_CRASHES, and at gateways of rank 1 and above as much later for
+   each rank. So one gateway tries for all, unless it has no such request or
+   does not refuse the part. */
 bool quarantine_try(struct quarantine *quarantine, const char *id,
-                    uint64_t now_ms);
+                    uint32_t rank, uint64_t now_ms);
+
+/* Whether reports of crashes name the part, though they may no longer count
+   for it. */
+bool quarantine_is_reported(const struct quarantine *quarantine,
+                            const char *id);
 
 /* Returns the parts (char *) that reports suspect and for which this gateway
    got events since, so that it can announce them. Each is returned once until
--- a/entry/engine_crashes.c
+++ b/entry/engine_crashes.c
@@ -130,5 +130,5 @@
 
     fill_part_ids(&ids, prefixes, prefix_count);
     id = quarantine_find(crashes->quarantine, ids.list, now_ms, left_ms);
-    return id != NULL && !quarantine_try(crashes->quarantine, id, now_ms);
+    return id != NULL && !quarantine_try(crashes->quarantine, id, 0, now_ms);
 }
--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -260,18 +260,45 @@
     crash_report_destroy(report);
 }
 
+static void
+announce(struct crash_monitor *monitor, const char *part)
+{
+    char *key = platform_store_served_key(part);
+
+    store_writer_put(monitor->writer, key, "", 0);
+    g_free(key);
+}
+
+/* An item's lease has ended. An announcement is needed as long as there are
+   reports that it is about: a gateway that starts would count them. One
+   gateway writes it again. Reports expire here by themselves. */
+static void
+apply_removal(struct crash_monitor *monitor, const char *key,
+              const struct peers *peers)
+{
+    const char *part;
+
+    if (platform_store_item_type(key) != PLATFORM_ITEM_SERVED_PART) {
+        return;
+    }
+    part = platform_store_served_part(key);
+    if (peers != NULL && peers_rank(peers, part) == 0 &&
+        quarantine_is_reported(monitor->quarantine, part)) {
+        announce(monitor, part);
+    }
+}
+
 void
 crash_monitor_apply(struct crash_monitor *monitor,
-                    const struct store_item *item)
+                    const struct store_item *item, const struct peers *peers)
 {
     uint32_t count = crash_monitor_count(monitor);
 
-    /* The store removes items at the end of their lease. The quarantine lets
-       reports expire itself. */
     if (item->bytes == NULL) {
-        return;
+        apply_removal(monitor, item->key, peers);
     }
-    if (platform_store_item_type(item->key) == PLATFORM_ITEM_CRASH_REPORT) {
+    else if (platform_store_item_type(item->key) ==
+             PLATFORM_ITEM_CRASH_REPORT) {
         apply_report(monitor, item);
     }
     else {
@@ -290,11 +317,9 @@
 
     for (guint i = 0; i < parts->len; i++) {
         const char *part = g_ptr_array_index(parts, i);
-        char *key = platform_store_served_key(part);
 
         LOG_INFO("a suspected part is served", "part=%s", part);
-        store_writer_put(monitor->writer, key, "", 0);
-        g_free(key);
+        announce(monitor, part);
     }
     g_ptr_array_free(parts, TRUE);
 }
@@ -310,8 +335,8 @@
     if (part == NULL) {
         return false;
     }
-    if (!peers_is_first(peers, part) ||
-        !quarantine_try(monitor->quarantine, part, now_ms)) {
+    if (!quarantine_try(monitor->quarantine, part, peers_rank(peers, part),
+                        now_ms)) {
         return true;
     }
     LOG_INFO("a part under quarantine is tried", "part=%s", part);
--- a/gateway/crash_monitor.h
+++ b/gateway/crash_monitor.h
@@ -42,17 +42,18 @@
 void crash_monitor_record_served(struct crash_monitor *monitor,
                                  char *const *parts);
 
-/* Applies a report or an announcement that was read from the store. */
+/* Applies a report or an announcement that was read from the store, or its
+   removal. peers may be NULL during the start. */
 void crash_monitor_apply(struct crash_monitor *monitor,
-                         const struct store_item *item);
+                         const struct store_item *item,
+                         const struct peers *peers);
 
 /* Announces the parts that reports suspect wrongly. Called every 100 ms. */
 void crash_monitor_tick(struct crash_monitor *monitor);
 
 /* Returns whether a request with these shared parts is to be refused, and sets
    *left_ms to how long that will last without further crashes. One request
-   with such a part is let through now and then, by the gateway that peers say
-   is to try it. */
+   with such a part is let through now and then, by one of the gateways. */
 bool crash_monitor_refuses(struct crash_monitor *monitor, char *const *parts,
                            const struct peers *peers, uint32_t *left_ms);
 
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -141,7 +141,7 @@
 {
     struct gateway *gateway = data;
 
-    crash_monitor_apply(gateway->crashes, item);
+    crash_monitor_apply(gateway->crashes, item, gateway->peers);
 }
 
 /* Handlers for the store. */
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -413,12 +413,12 @@
     peers->addresses = addresses;
 }
 
-bool
-peers_is_first(const struct peers *peers, const char *key)
+uint32_t
+peers_rank(const struct peers *peers, const char *key)
 {
-    return rendezvous_rank(key, peers->own_address,
-                           (const char *const *)peers->addresses->pdata,
-                           peers->addresses->len) == 0;
+    return (uint32_t)rendezvous_rank(
+        key, peers->own_address, (const char *const *)peers->addresses->pdata,
+        peers->addresses->len);
 }
 
 uint32_t
--- a/gateway/peers.h
+++ b/gateway/peers.h
@@ -52,9 +52,9 @@
    among them; see core/endpoint_limit.h. */
 uint32_t peers_limit_sharers(const struct peers *peers, const char *endpoint);
 
-/* Whether this gateway is the first of all in the order of a key, by
+/* Place of this gateway, from 0, in the order of all gateways for a key, by
    rendezvous hashing. */
-bool peers_is_first(const struct peers *peers, const char *key);
+uint32_t peers_rank(const struct peers *peers, const char *key);
 
 /* The number of gateways, including this one; at least 1. */
 uint32_t peers_count(const struct peers *peers);
--- a/tests/faults/gateway_crashing_part.sh
+++ b/tests/faults/gateway_crashing_part.sh
@@ -104,3 +104,19 @@
 expect "workers that ended by then" "$CRASHES" "$before"
 expect "a sound prompt after the restart" \
     "$(prompt "$GATEWAY" "aa01:40,cc1:500,e0:460")" 200
+
+# An operator lifts the quarantine by announcing the part. When the store loses
+# the announcement, one of the gateways writes it again, since the reports of
+# the crashes are still there.
+knows_no_part() {
+    [ "$(gateway_metric "$1" quarantined_parts)" = 0 ]
+}
+store_control 'put?key=dandelionfork/served-parts/bad1' -d ok
+wait_until knows_no_part 1
+wait_until knows_no_part 2
+store_control 'remove?key=dandelionfork/served-parts/bad1'
+is_announced() {
+    fetch "$STORE_URL/dandelionfork/kv-range?prefix=dandelionfork/served-parts/" |
+        grep -q bad1
+}
+wait_until is_announced
--- a/tests/quarantine_runner.c
+++ b/tests/quarantine_runner.c
@@ -13,9 +13,8 @@
      others COUNT             this and each later crash comes after an event
                               of some other prompt (1, the default) or not (0)
      tick                     the gateways announce what they know better
-     ask GATEWAY PARTS        prints whether a prompt would be refused; the
-                              gateway is not the one that tries a part again
-     try GATEWAY PARTS        the same, at the gateway that does
+     ask GATEWAY PARTS [RANK] prints whether a prompt would be refused; with
+                              a rank, the gateway may try a part again
      restart [reversed]       all gateways start again and read the store, in
                               the order of the writes or the other way round
 
@@ -143,7 +142,7 @@
 }
 
 static void
-ask(const struct runner *runner, char *const *words, bool tries)
+ask(const struct runner *runner, char *const *words)
 {
     struct quarantine *gateway = find_gateway(runner, words[1]);
     char **parts = g_strsplit(words[2], ",", 0);
@@ -152,8 +151,9 @@
         quarantine_find(gateway, parts, runner->now_ms, &left_ms);
 
     printf("%lu %s %s: ", (unsigned long)runner->now_ms, words[1], words[2]);
-    if (found != NULL && tries &&
-        quarantine_try(gateway, found, runner->now_ms)) {
+    if (found != NULL && words[3] != NULL &&
+        quarantine_try(gateway, found, (uint32_t)strtoul(words[3], NULL, 10),
+                       runner->now_ms)) {
         printf("sent to try %s\n", found);
     }
     else if (found != NULL) {
@@ -192,10 +192,7 @@
         tick(runner);
     }
     else if (strcmp(words[0], "ask") == 0) {
-        ask(runner, words, false);
-    }
-    else if (strcmp(words[0], "try") == 0) {
-        ask(runner, words, true);
+        ask(runner, words);
     }
     else if (strcmp(words[0], "others") == 0) {
         runner->others_silent = strcmp(words[1], "0") == 0;
