Gateway: a request counts for a limit before its holds are acquired

Two long prompts that wait for memory at other engines could both find the one request that the limit of their first engine left. Found by reading; no test of ours makes two such waits meet.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -212,11 +212,12 @@
                       const struct crash_report *report, uint64_t revision,
                       uint64_t now_ms)
 {
-    struct crash *crash = find_crash(quarantine, report, now_ms);
+    struct crash *crash;
 
     if (quarantine->period_ms == 0) {
         return;
     }
+    crash = find_crash(quarantine, report, now_ms);
     if (crash == NULL) {
         crash = add_crash(quarantine, report, now_ms);
     }
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -11,16 +11,14 @@
    no other part explains these, and no request with it got an event since.
    Crashes that follow each other closely count as one: engines that fail
    together have another cause. Not thread-safe. Times are in milliseconds of
-   one monotonic clock.
-   */
+   one monotonic clock. */
 
 struct crash_report;
 struct quarantine;
 struct _GPtrArray;
 
 enum {
-    /* Crashes at different times after which a part is put under quarantine.
-     */
+    /* Crashes at different times that put a part under quarantine. */
     QUARANTINE_CRASHES = 3
 };
 
@@ -37,8 +35,7 @@
 
 /* Records that a gateway has announced, at that revision of the store, that
    requests with the part of that id get events. Earlier reports no longer
-   count for it.
-   */
+   count for it. */
 void quarantine_add_served(struct quarantine *quarantine, const char *id,
                            uint64_t revision);
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -337,15 +337,8 @@
         .max_connections = MAX(forward->admitted.service->max_connections /
                                    peers_count(forward->forwarder->deps.peers),
                                1)};
-    struct endpoint *endpoint = forward->assignment.placement.engines[0];
 
     gateway_counters_count(COUNT_ATTEMPTS);
-    if (endpoint->limit.per_s > 0.0) {
-        endpoint_limit_take(
-            &endpoint->limit,
-            peers_limit_sharers(forward_peers(forward), endpoint->id),
-            forward_now_ms(forward));
-    }
     forward->attempts++;
     forward->paused = false;
     forward->upstream =
@@ -409,6 +402,19 @@
     return true;
 }
 
+/* Counts before the holds are acquired, so that other requests meanwhile do
+   not find the same room. */
+static void
+count_for_limit(const struct forward *forward, struct endpoint *endpoint)
+{
+    if (endpoint->limit.per_s > 0.0) {
+        endpoint_limit_take(
+            &endpoint->limit,
+            peers_limit_sharers(forward_peers(forward), endpoint->id),
+            forward_now_ms(forward));
+    }
+}
+
 static void
 give_up_unplaced(struct forward *forward)
 {
@@ -462,6 +468,7 @@
     }
     assignment_begin(assignment, &request, forward->admitted.route->is_stream,
                      forward_peers(forward), forward_now_ms(forward));
+    count_for_limit(forward, assignment->placement.engines[0]);
     if (assignment->placement.holders > 0) {
         acquire_holds(forward);
         return;
