Crash reports: an endpoint may crash again under its id

A worker may start again under the id that it had. The store kept one report for each endpoint and gateway, the last one, and reports that a gateway reads at once were taken for one crash: one that starts, or that the store had been away from, counted too few.

--- a/core/crash_report.c
+++ b/core/crash_report.c
@@ -15,11 +15,12 @@
 }
 
 struct crash_report *
-crash_report_create(const char *endpoint, uint64_t crashed_ms,
-                    uint64_t served_ms)
+crash_report_create(const char *gateway, const char *endpoint,
+                    uint64_t crashed_ms, uint64_t served_ms)
 {
     struct crash_report *report = g_new0(struct crash_report, 1);
 
+    report->gateway = g_strdup(gateway);
     report->endpoint = g_strdup(endpoint);
     report->crashed_ms = crashed_ms;
     report->served_ms = served_ms;
@@ -37,6 +38,7 @@
     }
     g_array_free(report->parts, TRUE);
     g_free(report->endpoint);
+    g_free(report->gateway);
     g_free(report);
 }
 
@@ -62,6 +64,7 @@
 void
 crash_report_encode(const struct crash_report *report, GByteArray *out)
 {
+    flat_items_add_text(out, report->gateway);
     flat_items_add_text(out, report->endpoint);
     flat_items_add_number(out, report->crashed_ms);
     flat_items_add_number(out, report->served_ms);
@@ -78,12 +81,14 @@
 crash_report_decode(const uint8_t *bytes, size_t count)
 {
     struct flat_items_reader reader = {.bytes = bytes, .count = count};
+    char *gateway = flat_items_read_text(&reader);
     char *endpoint = flat_items_read_text(&reader);
     uint64_t crashed_ms = flat_items_read_number(&reader);
     struct crash_report *report = crash_report_create(
-        endpoint, crashed_ms, flat_items_read_number(&reader));
-    bool valid = endpoint != NULL;
+        gateway, endpoint, crashed_ms, flat_items_read_number(&reader));
+    bool valid = gateway != NULL && endpoint != NULL;
 
+    g_free(gateway);
     g_free(endpoint);
     while (valid && !flat_items_at_end(&reader)) {
         char *id = flat_items_read_text(&reader);
--- a/core/crash_report.h
+++ b/core/crash_report.h
@@ -20,6 +20,7 @@
 };
 
 struct crash_report {
+    char *gateway;
     char *endpoint;
     uint64_t crashed_ms; /* Unix time by the gateway's clock */
     /* When the gateway had last got an event of any prompt; 0: never. */
@@ -27,7 +28,8 @@
     struct _GArray *parts; /* struct crash_report_part, each id once */
 };
 
-struct crash_report *crash_report_create(const char *endpoint,
+struct crash_report *crash_report_create(const char *gateway,
+                                         const char *endpoint,
                                          uint64_t crashed_ms,
                                          uint64_t served_ms);
 void crash_report_destroy(struct crash_report *report);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -14,6 +14,9 @@
     /* Reports of one endpoint this close to each other are of one crash: it
        takes longer to start again and to crash again. */
     SAME_CRASH_MS = 1000,
+    /* By which the clocks of two gateways may differ, and less than an
+       endpoint takes from one crash to the next. */
+    MAX_SKEW_MS = 2500,
     /* A part that got an event this recently is not reported for a crash. */
     RECENTLY_SERVED_MS = 2000,
     /* Crashes after which a contradiction is announced. It has to come before
@@ -36,6 +39,7 @@
 
 struct crash {
     char *endpoint;
+    GHashTable *gateways; /* names of those that have reported it, owned */
     uint64_t crashed_ms;
     uint64_t served_ms; /* last event of any prompt before it; 0: none */
     uint64_t added_ms;
@@ -93,6 +97,7 @@
     struct crash *crash = data;
 
     g_array_free(crash->suspicions, TRUE);
+    g_hash_table_destroy(crash->gateways);
     g_free(crash->endpoint);
     g_free(crash);
 }
@@ -134,6 +139,24 @@
     return a_ms > b_ms ? a_ms - b_ms : b_ms - a_ms;
 }
 
+/* Whether a report is of that crash: by its time, or, as the gateways' clocks
+   may differ, since it comes at the same time from a gateway that has not
+   reported the crash yet. */
+static bool
+is_report_of(const struct crash_report *report, const struct crash *crash,
+             uint64_t now_ms)
+{
+    uint64_t apart_ms = distance_ms(crash->crashed_ms, report->crashed_ms);
+
+    if (strcmp(crash->endpoint, report->endpoint) != 0) {
+        return false;
+    }
+    return apart_ms <= SAME_CRASH_MS ||
+           (apart_ms <= MAX_SKEW_MS &&
+            now_ms - crash->added_ms <= SAME_CRASH_MS &&
+            !g_hash_table_contains(crash->gateways, report->gateway));
+}
+
 static struct crash *
 find_crash(const struct quarantine *quarantine,
            const struct crash_report *report, uint64_t now_ms)
@@ -141,10 +164,7 @@
     for (guint i = quarantine->crashes->len; i > 0; i--) {
         struct crash *crash = g_ptr_array_index(quarantine->crashes, i - 1);
 
-        if (strcmp(crash->endpoint, report->endpoint) == 0 &&
-            (distance_ms(crash->crashed_ms, report->crashed_ms) <=
-                 SAME_CRASH_MS ||
-             now_ms - crash->added_ms <= SAME_CRASH_MS)) {
+        if (is_report_of(report, crash, now_ms)) {
             return crash;
         }
     }
@@ -161,6 +181,8 @@
         g_ptr_array_remove_index(quarantine->crashes, 0);
     }
     crash->endpoint = g_strdup(report->endpoint);
+    crash->gateways =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     crash->crashed_ms = report->crashed_ms;
     crash->added_ms = now_ms;
     crash->suspicions = g_array_new(FALSE, FALSE, sizeof(struct suspicion));
@@ -221,6 +243,7 @@
     if (crash == NULL) {
         crash = add_crash(quarantine, report, now_ms);
     }
+    g_hash_table_add(crash->gateways, g_strdup(report->gateway));
     crash->served_ms = MAX(crash->served_ms, report->served_ms);
     for (guint i = 0; i < report->parts->len; i++) {
         add_suspicion(
--- a/entry/engine_crashes.c
+++ b/entry/engine_crashes.c
@@ -86,7 +86,7 @@
     uint64_t crash_ms = find_crash_ms(crashes, node, now_ms);
     char *name = g_strdup_printf("%s %" PRIu64, node, crash_ms);
     struct crash_report *report =
-        crash_report_create(name, crash_ms, crashes->bytes_ms);
+        crash_report_create("", name, crash_ms, crashes->bytes_ms);
     struct part_ids ids;
 
     fill_part_ids(&ids, prefixes, prefix_count);
--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -93,8 +93,8 @@
 {
     uint32_t count = crash_monitor_count(monitor);
     GByteArray *bytes = g_byte_array_new();
-    char *key =
-        platform_store_crash_key(report->endpoint, monitor->settings.instance);
+    char *key = platform_store_crash_key(report->endpoint, report->gateway,
+                                         report->crashed_ms);
 
     LOG_WARN("endpoint has crashed with requests unanswered",
              "endpoint=%s parts=%u", report->endpoint, report->parts->len);
@@ -195,7 +195,8 @@
     if (monitor->event_ms > 0) {
         served_ms = unix_ms - (loop_now_ms(monitor->loop) - monitor->event_ms);
     }
-    return crash_report_create(endpoint, unix_ms, served_ms);
+    return crash_report_create(monitor->settings.instance, endpoint, unix_ms,
+                               served_ms);
 }
 
 static struct check *
--- a/tests/faults/gateway_crashing_part.sh
+++ b/tests/faults/gateway_crashing_part.sh
@@ -1,64 +1,24 @@
 # Guards against a prompt part that ends every engine it is sent to: the
 # gateways of a deployment together send such requests to a few engines and then
 # refuse them, and serve requests with the same first part as before.
-. "$(dirname "$0")/lib/gateways.sh"
-
-# The model workers, each behind one port. A worker that has ended starts again
-# under a new id.
+. "$(dirname "$0")/lib/crashing.sh"
 SLOTS="3 4 5 6 7"
-declare -A ID
-LAST_ID=0
 CRASHES=0
 
-# start_model SLOT
-start_model() {
-    LAST_ID=$((LAST_ID + 1))
-    ID[$1]=$LAST_ID
-    start "model-$LAST_ID" "$BIN/tests/fake_worker" --ip "$IP" \
-        --port "740$1" --number "$LAST_ID"
-    wait_log "model-$LAST_ID" ready
-    worker_control "$1" 'crash?part=bad1'
-    store_control "put?key=servers/worker-$LAST_ID" -d "{
-        \"service\":\"model\",\"address\":\"$IP:740$1\",\"zone\":\"here\",
-        \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",
-        \"cold_remaining_ms\":0,\"sequence\":1}"
-    wait_log gateway-1 "endpoint changed endpoint=worker-$LAST_ID state=ready"
-    wait_log gateway-2 "endpoint changed endpoint=worker-$LAST_ID state=ready"
-}
-
 # Counts the workers that have crashed, and starts them again.
 restart_crashed() {
     local slot
     for slot in $SLOTS; do
-        if grep -q '^crashed' "$WORK/model-${ID[$slot]}.log"; then
+        if has_crashed "$slot"; then
             CRASHES=$((CRASHES + 1))
-            reap "model-${ID[$slot]}" || true
+            reap "${RUN[$slot]}" || true
             store_control "remove?key=servers/worker-${ID[$slot]}"
             start_model "$slot"
         fi
     done
 }
 
-# prompt GATEWAY_URL PARTS: sends a prompt and prints the status. curl fails if
-# the response is cut off.
-prompt() {
-    call "$1" /stream/x -d prompt -H 'Token-Usage: 1000,40' \
-        -H "Prompt-Prefix: $2" || true
-}
-
-start_store
-configure ""
-write_gateway_settings 1
-write_gateway_settings 2
-start "gateway-1" "$BIN/dandelionfork-gateway" \
-    --settings "$WORK/gateway-1.ini"
-start "gateway-2" "$BIN/dandelionfork-gateway" \
-    --settings "$WORK/gateway-2.ini"
-for slot in $SLOTS; do
-    start_model "$slot"
-done
-wait_until is_ready 1
-wait_until is_ready 2
+start_crashing_deployment
 
 # Workers that break connections and accept others have not crashed.
 for slot in $SLOTS; do
--- a/tests/quarantine_runner.c
+++ b/tests/quarantine_runner.c
@@ -106,7 +106,7 @@
 crash(struct runner *runner, char *const *words)
 {
     struct crash_report *report =
-        crash_report_create(words[1], runner->now_ms,
+        crash_report_create(words[2], words[1], runner->now_ms,
                             runner->others_silent ? 0 : runner->now_ms - 1);
     const struct quarantine *gateway = find_gateway(runner, words[2]);
 
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -434,15 +434,17 @@
 test_crash_reports(void)
 {
     /* Empty texts. */
-    static const uint8_t no_endpoint[] = {0xa0, 1, 1};
-    static const uint8_t no_part[] = {0xa1, 'e', 1, 1, 0xa0, 0};
-    struct crash_report *report = crash_report_create("e", 1, 1);
+    static const uint8_t no_gateway[] = {0xa0, 0xa1, 'e', 1, 1};
+    static const uint8_t no_endpoint[] = {0xa1, 'g', 0xa0, 1, 1};
+    static const uint8_t no_part[] = {0xa1, 'g', 0xa1, 'e', 1, 1, 0xa0, 0};
+    struct crash_report *report = crash_report_create("g", "e", 1, 1);
     GByteArray *sample = g_byte_array_new();
 
     crash_report_add(report, "aa", 0);
     crash_report_add(report, "bb", 1);
     crash_report_encode(report, sample);
     feed(sample->data, sample->len, parse_crash_report);
+    feed(no_gateway, sizeof(no_gateway), parse_crash_report);
     feed(no_endpoint, sizeof(no_endpoint), parse_crash_report);
     feed(no_part, sizeof(no_part), parse_crash_report);
     g_byte_array_unref(sample);
