--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -132,10 +132,14 @@
     }
     endpoint = endpoints_find(directory->endpoints, id);
     LOG_INFO("endpoint changed",
-             "endpoint=%s state=%s service=%s revision=%" G_GUINT64_FORMAT, id,
+             "endpoint=%s state=%s service=%s born_ms=%" G_GUINT64_FORMAT
+             " said_leaving=%d revision=%" G_GUINT64_FORMAT,
+             id,
              endpoint == NULL ? "gone"
                               : (endpoint->draining ? "leaving" : "ready"),
-             endpoint == NULL ? "-" : endpoint->service, item->revision);
+             endpoint == NULL ? "-" : endpoint->service,
+             endpoint == NULL ? 0 : endpoint->born_ms,
+             endpoint != NULL && endpoint->leaving, item->revision);
 }
 
 static void
