Endpoints: one whose registration comes back is the one that was known

Callers' requests reached an endpoint that had said it was leaving, after its registration had lapsed or was overwritten and had come back. Each removal made the gateway forget what the instance had said of itself, though the start of the instance in the new registration is the same. The limit that it named, the time after which it wants requests and the requests in progress there were lost in the same way.

A removed endpoint is kept, 8,192 of them at most, and comes back as it was unless the registration shows another instance. Ruled out: to keep the leaving ones alone, since the limit and Retry-After are lost by the same cause.

--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -14,6 +14,8 @@
     TOLERATED_FAILURES = 1,
     /* Within it the peers' reports tell what the endpoint said itself. */
     UNSEEN_MS = 500,
+    /* Removed endpoints that are kept: more than one fleet has. */
+    MAX_REMOVED = 8192,
 };
 
 /* An engine prefills one prompt after the other. The current prefill runs at
@@ -24,8 +26,10 @@
 static const double max_prefill_progress = 0.8;
 
 struct endpoints {
-    GHashTable *by_id; /* id to struct endpoint; holds a reference */
-    GHashTable *peers; /* instance to GArray of struct endpoint_peer_load */
+    GHashTable *by_id;    /* id to struct endpoint; holds a reference */
+    GHashTable *removed;  /* the same of those that were removed */
+    GQueue removed_order; /* struct endpoint, the first removed first */
+    GHashTable *peers;    /* instance to GArray of struct endpoint_peer_load */
 };
 
 static void
@@ -54,6 +58,15 @@
     endpoint_unref(endpoint);
 }
 
+static void
+unref_removed(gpointer data)
+{
+    struct endpoint *endpoint = data;
+
+    endpoint->removed_link = NULL;
+    endpoint_unref(endpoint);
+}
+
 struct endpoints *
 endpoints_create(void)
 {
@@ -61,6 +74,9 @@
 
     endpoints->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
                                              unregister_endpoint);
+    endpoints->removed =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_removed);
+    g_queue_init(&endpoints->removed_order);
     endpoints->peers =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_rows);
     return endpoints;
@@ -73,6 +89,8 @@
         return;
     }
     g_hash_table_destroy(endpoints->by_id);
+    g_queue_clear(&endpoints->removed_order);
+    g_hash_table_destroy(endpoints->removed);
     g_hash_table_destroy(endpoints->peers);
     g_free(endpoints);
 }
@@ -211,6 +229,37 @@
     }
 }
 
+static struct endpoint *
+create_endpoint(const char *id)
+{
+    struct endpoint *endpoint = g_new0(struct endpoint, 1);
+
+    endpoint->references = 1;
+    endpoint->id = g_strdup(id);
+    endpoint->running = g_ptr_array_new();
+    return endpoint;
+}
+
+/* Returns the removed endpoint of that id, with its reference, or NULL. */
+static struct endpoint *
+take_removed(struct endpoints *endpoints,
+             const struct endpoint_registration *registration)
+{
+    struct endpoint *endpoint =
+        g_hash_table_lookup(endpoints->removed, registration->id);
+
+    if (endpoint == NULL) {
+        return NULL;
+    }
+    g_hash_table_steal(endpoints->removed, registration->id);
+    g_queue_delete_link(&endpoints->removed_order, endpoint->removed_link);
+    endpoint->removed_link = NULL;
+    if (registration->born_ms == 0) {
+        forget_instance(endpoint);
+    }
+    return endpoint;
+}
+
 bool
 endpoints_put(struct endpoints *endpoints,
               const struct endpoint_registration *registration)
@@ -220,21 +269,43 @@
     if (endpoint != NULL) {
         return update_registration(endpoint, registration);
     }
-    endpoint = g_new0(struct endpoint, 1);
-    endpoint->references = 1;
+    endpoint = take_removed(endpoints, registration);
+    if (endpoint == NULL) {
+        endpoint = create_endpoint(registration->id);
+    }
     endpoint->registered = true;
-    endpoint->id = g_strdup(registration->id);
-    endpoint->running = g_ptr_array_new();
     update_registration(endpoint, registration);
     g_hash_table_insert(endpoints->by_id, endpoint->id, endpoint);
+    memset(&endpoint->peer_load, 0, sizeof(endpoint->peer_load));
     add_reported_load(endpoints, endpoint);
     return true;
 }
 
+/* Takes over a reference. */
+static void
+keep_removed(struct endpoints *endpoints, struct endpoint *endpoint)
+{
+    g_hash_table_insert(endpoints->removed, endpoint->id, endpoint);
+    g_queue_push_tail(&endpoints->removed_order, endpoint);
+    endpoint->removed_link = g_queue_peek_tail_link(&endpoints->removed_order);
+    if (g_queue_get_length(&endpoints->removed_order) > MAX_REMOVED) {
+        struct endpoint *first = g_queue_pop_head(&endpoints->removed_order);
+
+        g_hash_table_remove(endpoints->removed, first->id);
+    }
+}
+
 bool
 endpoints_remove(struct endpoints *endpoints, const char *id)
 {
-    return g_hash_table_remove(endpoints->by_id, id) != 0;
+    struct endpoint *endpoint = endpoints_find(endpoints, id);
+
+    if (endpoint == NULL) {
+        return false;
+    }
+    keep_removed(endpoints, endpoint_ref(endpoint));
+    g_hash_table_remove(endpoints->by_id, endpoint->id);
+    return true;
 }
 
 struct endpoint *
@@ -279,6 +350,7 @@
     return healthy;
 }
 
+/* Limits of removed endpoints are kept up to date for their return. */
 static void
 learn_limits(const struct endpoints *endpoints, const GArray *rows,
              uint64_t now_ms)
@@ -288,6 +360,9 @@
             &g_array_index(rows, struct endpoint_peer_load, i);
         struct endpoint *endpoint = endpoints_find(endpoints, row->id);
 
+        if (endpoint == NULL) {
+            endpoint = g_hash_table_lookup(endpoints->removed, row->id);
+        }
         if (endpoint != NULL && row->is_limit) {
             endpoint_limit_learn(&endpoint->limit, row->limit_per_s,
                                  now_ms - MIN(row->limit_age_ms, now_ms));
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -60,8 +60,9 @@
     bool draining;
     uint64_t born_ms;
     bool leaving;    /* its answers say so, whatever its registration says */
-    bool registered; /* false: removed, but still referenced */
-    GPtrArray *running; /* struct endpoint_work *, not owned, oldest first */
+    bool registered; /* false: removed */
+    GList *removed_link; /* place among the removed ones; NULL: not kept */
+    GPtrArray *running;  /* struct endpoint_work *, not owned, oldest first */
     /* When a prefill that this gateway placed here last ended. */
     uint64_t last_prefill_end_ms;
     struct endpoint_load peer_load; /* sum of what the peers report */
@@ -92,11 +93,14 @@
 void endpoints_destroy(struct endpoints *endpoints);
 
 /* Adds an endpoint, or updates the one with the same id, from its
-   registration, which is copied. Returns whether anything has changed. */
+   registration, which is copied. An endpoint that was removed comes back as it
+   was if its registration shows the same start of the instance; one without a
+   start counts as another instance. Returns whether anything has changed. */
 bool endpoints_put(struct endpoints *endpoints,
                    const struct endpoint_registration *registration);
-/* Removes an endpoint, which stays valid for those that hold a reference.
-   Returns whether it was known. */
+/* Removes an endpoint, which stays valid for those that hold a reference. It
+   is kept, since its registration may only have lapsed: it may come back while
+   the instance still runs. Returns whether it was known. */
 bool endpoints_remove(struct endpoints *endpoints, const char *id);
 /* Borrowed; NULL if the id is not known. */
 struct endpoint *endpoints_find(const struct endpoints *endpoints,
--- a/tests/unit/test_gateway_core.c
+++ b/tests/unit/test_gateway_core.c
@@ -253,6 +253,79 @@
     endpoints_destroy(endpoints);
 }
 
+/* Guards against a registration that lapses and comes back while the instance
+   still runs: what the instance has said of itself was forgotten. */
+static void
+test_endpoint_returns(void)
+{
+    struct endpoints *endpoints = endpoints_create();
+    struct endpoint_registration entry = make_entry("a", false);
+    struct endpoint_work work = {.prefill_ms = 100};
+    struct endpoint *endpoint;
+
+    entry.born_ms = 7;
+    endpoints_put(endpoints, &entry);
+    endpoint = endpoints_find(endpoints, "a");
+    endpoint->leaving = true;
+    endpoint->closed_until_ms = 5000;
+    endpoint_limit_observe(&endpoint->limit, 1.5, 1000);
+    endpoint_add_work(endpoint, &work);
+    endpoints_remove(endpoints, "a");
+    g_assert_null(endpoints_find(endpoints, "a"));
+    g_assert_false(endpoints_remove(endpoints, "a"));
+
+    g_assert_true(endpoints_put(endpoints, &entry));
+    endpoint = endpoints_find(endpoints, "a");
+    g_assert_true(endpoint->registered);
+    g_assert_true(endpoint->leaving);
+    g_assert_cmpuint(endpoint->closed_until_ms, ==, 5000);
+    g_assert_cmpfloat(endpoint->limit.per_s, ==, 1.5);
+    g_assert_cmpuint(endpoint->running->len, ==, 1);
+    g_assert_cmpuint(count_usable(endpoints, 0), ==, 0);
+    endpoint_remove_work(endpoint, &work);
+
+    /* Another instance has said nothing. */
+    endpoints_remove(endpoints, "a");
+    entry.born_ms = 8;
+    endpoints_put(endpoints, &entry);
+    endpoint = endpoints_find(endpoints, "a");
+    g_assert_false(endpoint->leaving);
+    g_assert_cmpuint(endpoint->closed_until_ms, ==, 0);
+    g_assert_cmpfloat(endpoint->limit.per_s, ==, 0.0);
+    endpoints_destroy(endpoints);
+}
+
+/* The endpoints removed first are forgotten first. */
+static void
+test_removed_endpoints_are_bounded(void)
+{
+    enum {
+        REMOVED = 8192 + 1
+    };
+    struct endpoints *endpoints = endpoints_create();
+
+    for (uint32_t i = 0; i < REMOVED; i++) {
+        char *id = g_strdup_printf("%u", i);
+        struct endpoint_registration entry = make_entry(id, false);
+
+        entry.born_ms = 7;
+        endpoints_put(endpoints, &entry);
+        endpoints_find(endpoints, id)->leaving = true;
+        endpoints_remove(endpoints, id);
+        g_free(id);
+    }
+    for (uint32_t i = 0; i < 2; i++) {
+        char *id = g_strdup_printf("%u", i);
+        struct endpoint_registration entry = make_entry(id, false);
+
+        entry.born_ms = 7;
+        endpoints_put(endpoints, &entry);
+        g_assert_cmpint(endpoints_find(endpoints, id)->leaving, ==, i > 0);
+        g_free(id);
+    }
+    endpoints_destroy(endpoints);
+}
+
 static void
 record_failures(struct endpoints *endpoints, const char *id, int times)
 {
@@ -441,6 +514,9 @@
     g_test_add_func("/budget/shared", test_budget_is_shared);
     g_test_add_func("/catalog/routes", test_routes);
     g_test_add_func("/endpoints/registration", test_endpoint_registration);
+    g_test_add_func("/endpoints/returns", test_endpoint_returns);
+    g_test_add_func("/endpoints/removed_are_bounded",
+                    test_removed_endpoints_are_bounded);
     g_test_add_func("/endpoints/failing", test_failing_endpoints_are_avoided);
     g_test_add_func("/endpoints/prefills", test_prefills_run_in_sequence);
     g_test_add_func("/peers/counted", test_peer_load_is_added);
