Gateway: a late answer says nothing of the instance that has the endpoint's id by now

Callers got 503 from a service whose only endpoint was sound: the last answer of the instance before, which was leaving, came after the new one had registered under its id, and the new one was taken to be leaving for good. Its load, limit and Retry-After were taken for the new one's too.

An assignment keeps the start of the instance that it was made for.

--- a/gateway/assignment.c
+++ b/gateway/assignment.c
@@ -28,6 +28,7 @@
         endpoint_ref(placement->engines[i]);
         endpoint_add_work(placement->engines[i], &assignment->works[i]);
     }
+    assignment->born_ms = placement->engines[0]->born_ms;
     assignment->active = true;
     peers_load_changed(peers);
 }
@@ -80,3 +81,10 @@
 {
     return assignment->active ? assignment->placement.engines[0] : NULL;
 }
+
+bool
+assignment_is_current(const struct assignment *assignment)
+{
+    return assignment->active &&
+           assignment->placement.engines[0]->born_ms == assignment->born_ms;
+}
--- a/gateway/assignment.h
+++ b/gateway/assignment.h
@@ -18,6 +18,7 @@
     struct placement placement; /* count 0: no endpoint */
     struct endpoint_work works[PLACEMENT_MAX_ENGINES]; /* one per engine */
     struct hold_group *holds; /* helpers' memory; NULL: none */
+    uint64_t born_ms;         /* of the instance that is to respond */
     bool active;              /* the load is counted */
 };
 
@@ -40,4 +41,8 @@
 /* The endpoint that sends the response, borrowed; NULL if none is assigned. */
 struct endpoint *assignment_endpoint(const struct assignment *assignment);
 
+/* Whether that endpoint is still the instance to which the load was assigned,
+   and not another one that has its id by now. */
+bool assignment_is_current(const struct assignment *assignment);
+
 #endif
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -238,7 +238,7 @@
                             "answer to another request");
         return;
     }
-    if (!metadata.misdirected) {
+    if (!metadata.misdirected && assignment_is_current(&forward->assignment)) {
         record_load(forward, &metadata, head->status);
         record_limit(forward, &metadata, head->status);
         record_leaving(forward, &metadata);
--- a/tests/faults/gateway_endpoint_leaving.sh
+++ b/tests/faults/gateway_endpoint_leaving.sh
@@ -17,15 +17,8 @@
 send_many 40
 expect "runs of the leaving worker" "$(worker_stat 1 runs)" $((before + 1))
 
-# register_born MS: registers worker-1 with the start of its instance.
-register_born() {
-    store_control "put?key=servers/worker-1" -d "{\"service\":\"plain\",
-        \"address\":\"$IP:7401\",\"zone\":\"here\",\"version\":\"v1\",
-        \"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,
-        \"sequence\":1,\"born\":$1}"
-}
 worker_control 1 'leaving?on=0'
-register_born 1790000000000
+register 1 ready 1790000000000
 runs_again() {
     call "$GATEWAY" /plain/x -H 'Credential: key-1' >"$WORK/status"
     [ "$(worker_stat 1 runs)" -gt $((before + 1)) ]
--- a/tests/faults/gateway_endpoint_returns.sh
+++ b/tests/faults/gateway_endpoint_returns.sh
@@ -4,14 +4,6 @@
 BORN=1790000000000
 start_deployment
 
-# register_instance BORN: registers worker-1 with the start of its instance.
-register_instance() {
-    store_control "put?key=servers/worker-1" -d "{\"service\":\"plain\",
-        \"address\":\"$IP:7401\",\"zone\":\"here\",\"version\":\"v1\",
-        \"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,
-        \"sequence\":1,\"born\":$1}"
-}
-
 # changed_times STATE COUNT: whether the registration of worker-1 has become
 # that so often.
 changed_times() {
@@ -28,7 +20,7 @@
     done
 }
 
-register_instance "$BORN"
+register 1 ready "$BORN"
 wait_until changed_times ready 2
 worker_control 1 'leaving?on=1'
 send_many 40
@@ -37,14 +29,14 @@
 
 store_control 'remove?key=servers/worker-1'
 wait_until changed_times gone 1
-register_instance "$BORN"
+register 1 ready "$BORN"
 wait_until changed_times ready 3
 send_many 40
 expect "runs after the registration has lapsed" "$(worker_stat 1 runs)" "$runs"
 
 store_control 'put?key=servers/worker-1' -d 'no registration'
 wait_until changed_times gone 2
-register_instance "$BORN"
+register 1 ready "$BORN"
 wait_until changed_times ready 4
 send_many 40
 expect "runs after it was overwritten" "$(worker_stat 1 runs)" "$runs"
@@ -53,7 +45,7 @@
 worker_control 1 'leaving?on=0'
 store_control 'remove?key=servers/worker-1'
 wait_until changed_times gone 3
-register_instance $((BORN + 1))
+register 1 ready $((BORN + 1))
 runs_again() {
     call "$GATEWAY" /plain/x -H 'Credential: key-1' >"$WORK/status"
     [ "$(worker_stat 1 runs)" -gt "$runs" ]
--- a/tests/faults/lib/gateways.sh
+++ b/tests/faults/lib/gateways.sh
@@ -19,14 +19,15 @@
     wait_log store ready
 }
 
-# register NUMBER [STATE]: writes the worker's registration to the store.
+# register NUMBER [STATE [BORN]]: writes the worker's registration to the store,
+# with the start of its instance.
 register() {
     local service=plain
     [ "$1" -lt 3 ] || service=model
     store_control "put?key=servers/worker-$1" -d "{\"service\":\"$service\",
         \"address\":\"$IP:740$1\",\"zone\":\"here\",\"version\":\"v1\",
         \"slots\":4,\"state\":\"${2:-ready}\",\"cold_remaining_ms\":0,
-        \"sequence\":1}"
+        ${3:+\"born\":$3,}\"sequence\":1}"
 }
 
 start_worker() {
