Gateway: logs name requests that are alike

What was missing to tell whether the requests at the ends of endpoints are the same one: attempt ended has a digest of account, method, host, target and body.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -11,6 +11,7 @@
 #include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "core/placement.h"
+#include "core/request_digest.h"
 #include "core/stream_latency.h"
 #include "gateway/assignment.h"
 #include "gateway/callers.h"
@@ -78,6 +79,7 @@
     g_byte_array_unref(forward->response_body);
     event_stream_destroy(forward->events);
     catalog_unref(forward->catalog);
+    g_free(forward->digest);
     g_free(forward->method);
     g_free(forward->target);
     g_free(forward);
@@ -146,8 +148,8 @@
     }
 }
 
-/* parts: the shared parts of the prompt; answered: whether the caller has got
-   events of it. */
+/* request: the same for requests that are alike; parts: the shared parts of
+   the prompt; answered: whether the caller has got events of it. */
 static void
 log_attempt(const struct forward *forward, enum attempt_result result,
             const char *why)
@@ -156,10 +158,11 @@
 
     LOG_INFO("attempt ended",
              "id=%s endpoint=%s why=\"%s\" sends=%u may_have_run=%d "
-             "answered=%d parts=%s ms=%" G_GUINT64_FORMAT,
+             "answered=%d request=%s parts=%s ms=%" G_GUINT64_FORMAT,
              forward_id(forward), forward->assignment.placement.engines[0]->id,
              why, forward->attempts, result == ATTEMPT_MAY_HAVE_RUN,
-             forward->head_sent, parts[0] != '\0' ? parts : "-",
+             forward->head_sent, forward->digest,
+             parts[0] != '\0' ? parts : "-",
              forward_now_ms(forward) - forward->started_ms);
     g_free(parts);
 }
@@ -545,6 +548,22 @@
     return forward;
 }
 
+static char *
+compute_digest(const struct forward *forward)
+{
+    const struct request_content content = {
+        .account = forward->admitted.account != NULL
+                       ? forward->admitted.account->name
+                       : NULL,
+        .method = forward->method,
+        .host = forward->metadata.host,
+        .target = forward->target,
+        .body = forward->body->data,
+        .body_bytes = forward->body->len};
+
+    return request_digest(&content);
+}
+
 static void
 begin_forwarding(struct forward *forward)
 {
@@ -555,6 +574,7 @@
     if (!admit(forward)) {
         return;
     }
+    forward->digest = compute_digest(forward);
     set_deadline(forward);
     if (forward_now_ms(forward) >= forward->deadline_ms) {
         relay_give_up(forward, STATUS_GATEWAY_TIMEOUT, "time over");
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -50,6 +50,7 @@
     const GByteArray *body;  /* borrowed from the caller */
     struct catalog *catalog; /* a reference, until the request ends */
     struct admitted admitted;
+    char *digest; /* from request_digest(); NULL: not admitted yet */
     uint64_t started_ms;
     uint64_t deadline_ms;
     /* Ends the wait for a configuration; after that, runs at deadline_ms. */
--- a/tests/unit/test_gateway_core.c
+++ b/tests/unit/test_gateway_core.c
@@ -11,6 +11,7 @@
 #include "core/event_stream.h"
 #include "core/flat_items.h"
 #include "core/peer_load.h"
+#include "core/request_digest.h"
 #include "core/stream_latency.h"
 #include "io/store_items.h"
 
@@ -503,6 +504,52 @@
     g_assert_cmpuint(latency.longest_gap_ms, ==, 251);
 }
 
+static bool
+is_same_request(const struct request_content *a,
+                const struct request_content *b)
+{
+    char *first = request_digest(a);
+    char *second = request_digest(b);
+    bool same = strcmp(first, second) == 0;
+
+    g_free(first);
+    g_free(second);
+    return same;
+}
+
+static void
+test_request_digest(void)
+{
+    const struct request_content request = {.account = "uspon",
+                                            .method = "POST",
+                                            .host = "a.example",
+                                            .target = "/x?q=1",
+                                            .body = "body",
+                                            .body_bytes = 4};
+    struct request_content other = request;
+
+    other.host = "A.Example";
+    g_assert_true(is_same_request(&request, &other));
+    other.account = "other";
+    g_assert_false(is_same_request(&request, &other));
+    other = request;
+    other.method = "PUT";
+    g_assert_false(is_same_request(&request, &other));
+    other = request;
+    other.target = "/x?q=2";
+    g_assert_false(is_same_request(&request, &other));
+    other = request;
+    other.body_bytes = 3;
+    g_assert_false(is_same_request(&request, &other));
+    /* Fields don't run into each other. */
+    other = request;
+    other.account = "usponPOST";
+    other.method = "";
+    g_assert_false(is_same_request(&request, &other));
+    other = (struct request_content){0};
+    g_assert_true(is_same_request(&other, &other));
+}
+
 int
 main(int argc, char **argv)
 {
@@ -523,6 +570,7 @@
     g_test_add_func("/peers/items", test_store_items_round_trip);
     g_test_add_func("/peers/nested", test_nested_items_are_refused);
     g_test_add_func("/peers/random", test_random_bytes_are_refused);
+    g_test_add_func("/request-digest", test_request_digest);
     g_test_add_func("/stream-latency", test_stream_latency);
     return g_test_run();
 }
