--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -12,9 +12,11 @@
    empty?on=1 (streams have neither a length nor chunks and end before their
    first event), crash?part=ID (the process exits when it begins the stream of
    a request with that part in its Prompt-Prefix; with &stay=1 it breaks the
-   connection instead), limit?milli=N (answers name a limit of N thousandths of
-   a request a second; 0: none), stats. A request may ask for another number of
-   events (?events=N) or for a slower response
+   connection instead; with path=PATH and body=TEXT in place of part, when it
+   runs a request with that path and body, and with &event=N, after it has sent
+   N events of the stream), limit?milli=N (answers name a limit of N
+   thousandths of a request a second; 0: none), stats. A request may ask for
+   another number of events (?events=N) or for a slower response
    (?ms=N). The worker prints each run on
    standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
@@ -56,6 +58,9 @@
     uint64_t cut_after;
     bool cut_breaks;
     char crash_part[NAME_BYTES]; /* with the colon; empty: none */
+    char crash_path[NAME_BYTES]; /* of the request; empty: none */
+    char crash_body[NAME_BYTES];
+    uint64_t crash_event; /* 0: before the response */
     bool crash_stays;
     uint64_t runs;
     uint64_t streams;          /* in progress */
@@ -76,7 +81,8 @@
     uint64_t cut_after;
     bool cut_breaks;
     bool cutting; /* the event is the last one, and not whole */
-    bool crashes;
+    bool crashes; /* when crash_next events were made */
+    uint64_t crash_next;
     bool finished;
     char id[NAME_BYTES]; /* the request's Attempt-Id */
     char event[EVENT_BYTES * 2];
@@ -112,6 +118,13 @@
     return true;
 }
 
+static void
+crash(const char *id)
+{
+    print_line("crashed %s\n", id);
+    _exit(1);
+}
+
 static ssize_t
 read_stream(void *data, uint64_t position, char *out, size_t max)
 {
@@ -119,14 +132,13 @@
     size_t count;
 
     (void)position;
-    if (stream->crashes && stream->worker->crash_stays) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-    }
-    if (stream->crashes) {
-        print_line("crashed %s\n", stream->id);
-        _exit(1);
-    }
     if (stream->offset == stream->length) {
+        if (stream->crashes && stream->next >= stream->crash_next) {
+            if (stream->worker->crash_stays) {
+                return MHD_CONTENT_READER_END_WITH_ERROR;
+            }
+            crash(stream->id);
+        }
         bool cut = stream->cut_after != 0 && stream->next >= stream->cut_after;
 
         if (stream->cutting && stream->cut_breaks) {
@@ -224,6 +236,26 @@
     return value != NULL ? value : "-";
 }
 
+static bool
+crashes_on_part(const struct worker *worker,
+                const struct fake_request *request)
+{
+    return worker->crash_part[0] != '\0' &&
+           strstr(header_or_dash(request, "Prompt-Prefix"),
+                  worker->crash_part) != NULL;
+}
+
+static bool
+crashes_on_request(const struct worker *worker,
+                   const struct fake_request *request)
+{
+    return worker->crash_path[0] != '\0' &&
+           strcmp(request->path, worker->crash_path) == 0 &&
+           request->body->len == strlen(worker->crash_body) &&
+           memcmp(request->body->data, worker->crash_body,
+                  request->body->len) == 0;
+}
+
 static void
 begin_stream(struct worker *worker, const struct fake_request *request,
              struct fake_response *response)
@@ -242,9 +274,9 @@
         stream->end = stream->next;
         response->unframed = true;
     }
-    stream->crashes = worker->crash_part[0] != '\0' &&
-                      strstr(header_or_dash(request, "Prompt-Prefix"),
-                             worker->crash_part) != NULL;
+    stream->crashes = crashes_on_part(worker, request) ||
+                      crashes_on_request(worker, request);
+    stream->crash_next = stream->next + worker->crash_event;
     worker->streams++;
     response->content_type = "text/event-stream";
     response->read = read_stream;
@@ -334,6 +366,9 @@
         begin_stream(worker, request, response);
         return;
     }
+    if (crashes_on_request(worker, request)) {
+        crash(header_or_dash(request, "Attempt-Id"));
+    }
     response->body = g_strdup_printf(
         "worker-%lu %s %s %.*s\n", (unsigned long)worker->number,
         request->method, request->path, (int)request->body->len,
@@ -349,6 +384,28 @@
     worker->limit = milli > 0 ? g_intern_string(text) : NULL;
 }
 
+static void
+copy_query(const struct fake_request *request, const char *name, char *out)
+{
+    const char *value = MHD_lookup_connection_value(
+        request->connection, MHD_GET_ARGUMENT_KIND, name);
+
+    g_strlcpy(out, value != NULL ? value : "", NAME_BYTES);
+}
+
+static void
+set_crash(struct worker *worker, const struct fake_request *request)
+{
+    copy_query(request, "part", worker->crash_part);
+    if (worker->crash_part[0] != '\0') {
+        g_strlcat(worker->crash_part, ":", NAME_BYTES);
+    }
+    copy_query(request, "path", worker->crash_path);
+    copy_query(request, "body", worker->crash_body);
+    worker->crash_event = fake_query_number(request, "event", 0);
+    worker->crash_stays = fake_query_number(request, "stay", 0) != 0;
+}
+
 static void
 control(struct worker *worker, const struct fake_request *request,
         const char *command, struct fake_response *response)
@@ -384,10 +441,7 @@
         worker->memory_tokens = fake_query_number(request, "tokens", 0);
     }
     else if (strcmp(command, "crash") == 0) {
-        g_snprintf(worker->crash_part, sizeof(worker->crash_part), "%s:",
-                   MHD_lookup_connection_value(request->connection,
-                                               MHD_GET_ARGUMENT_KIND, "part"));
-        worker->crash_stays = fake_query_number(request, "stay", 0) != 0;
+        set_crash(worker, request);
     }
     else if (strcmp(command, "cut") == 0) {
         worker->cut_after = fake_query_number(request, "after", 0);
--- a/tests/faults/gateway_crashes_store_down.sh
+++ b/tests/faults/gateway_crashes_store_down.sh
@@ -17,7 +17,7 @@
     for slot in $SLOTS; do
         if has_crashed "$slot"; then
             reap "${RUN[$slot]}" || true
-            run_model "$slot"
+            run_crashing "$slot"
         fi
     done
     wait_until is_served
--- a/tests/faults/gateway_crashing_part.sh
+++ b/tests/faults/gateway_crashing_part.sh
@@ -3,21 +3,6 @@
 # refuse them, and serve requests with the same first part as before.
 . "$(dirname "$0")/lib/crashing.sh"
 SLOTS="3 4 5 6 7"
-CRASHES=0
-
-# Counts the workers that have crashed, and starts them again.
-restart_crashed() {
-    local slot
-    for slot in $SLOTS; do
-        if has_crashed "$slot"; then
-            CRASHES=$((CRASHES + 1))
-            reap "${RUN[$slot]}" || true
-            store_control "remove?key=servers/worker-${ID[$slot]}"
-            start_model "$slot"
-        fi
-    done
-}
-
 start_crashing_deployment
 
 # Workers that break connections and accept others have not crashed.
