Gateway: a request that crashes endpoints is refused

What callers saw: one plain call was sent to one endpoint of its service after the other, by the gateway that had it and by the next one when its caller came again. Each ended; twice all three of the service were gone, and the calls of all others were refused until they had started again.

Cause: the gateways remembered which prompt parts had been at crashes, but a plain call has none, so that nothing was checked or reported. A crash report now names the requests, by a digest of account, method, host, target and body, and the quarantine takes a whole request for the deepest part: reports, store, announcements and tries are those that were there.

Two rules are new. Crashes of a request count each if it was sent again after each, since the ends of a small service are 0.04 to 0.2 s apart and counted as one outage; copies that were there before show nothing. And a request goes before a part only if it explains all crashes of the part, since a request with a bad part may come several times too. Ruled out: a second mechanism for requests; a digest without the body or the query.

The requests of the tests of prompt parts have bodies of their own now, as no two of them are alike; workers start again after a gateway has noticed the crash, since a check finds a worker that is back within 20 ms alive. The golden files that were there are unchanged.

--- a/core/crash_report.c
+++ b/core/crash_report.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "core/flat_items.h"
+#include "core/request_digest.h"
 
 static void
 clear_part(gpointer data)
@@ -42,23 +43,43 @@
     g_free(report);
 }
 
-void
-crash_report_add(struct crash_report *report, const char *id, uint32_t depth)
+static void
+add_part(struct crash_report *report, const struct crash_report_part *added)
 {
-    struct crash_report_part part = {.depth = depth};
+    struct crash_report_part part = *added;
 
-    if (report->parts->len >= CRASH_REPORT_MAX_PARTS) {
-        return;
-    }
     for (guint i = 0; i < report->parts->len; i++) {
-        if (strcmp(
-                g_array_index(report->parts, struct crash_report_part, i).id,
-                id) == 0) {
+        struct crash_report_part *known =
+            &g_array_index(report->parts, struct crash_report_part, i);
+
+        if (strcmp(known->id, part.id) == 0) {
+            known->sent_ms = MAX(known->sent_ms, part.sent_ms);
             return;
         }
     }
-    part.id = g_strdup(id);
-    g_array_append_val(report->parts, part);
+    if (report->parts->len < CRASH_REPORT_MAX_PARTS) {
+        part.id = g_strdup(part.id);
+        g_array_append_val(report->parts, part);
+    }
+}
+
+void
+crash_report_add(struct crash_report *report, const char *id, uint32_t depth)
+{
+    struct crash_report_part part = {.id = (char *)id, .depth = depth};
+
+    add_part(report, &part);
+}
+
+void
+crash_report_add_request(struct crash_report *report, const char *digest,
+                         uint64_t sent_ms)
+{
+    struct crash_report_part part = {.id = (char *)digest,
+                                     .depth = CRASH_REPORT_REQUEST_DEPTH,
+                                     .sent_ms = sent_ms};
+
+    add_part(report, &part);
 }
 
 void
@@ -72,8 +93,12 @@
         const struct crash_report_part *part =
             &g_array_index(report->parts, struct crash_report_part, i);
 
+        /* Each has one number, so that gateways which know parts alone can
+           read the report. */
         flat_items_add_text(out, part->id);
-        flat_items_add_number(out, part->depth);
+        flat_items_add_number(out, request_digest_is_one(part->id)
+                                       ? part->sent_ms
+                                       : part->depth);
     }
 }
 
@@ -92,12 +117,15 @@
     g_free(endpoint);
     while (valid && !flat_items_at_end(&reader)) {
         char *id = flat_items_read_text(&reader);
-        uint32_t depth = (uint32_t)flat_items_read_number(&reader);
+        uint64_t number = flat_items_read_number(&reader);
 
         /* NULL: missing or empty. */
         valid = id != NULL && !reader.failed;
-        if (valid) {
-            crash_report_add(report, id, depth);
+        if (valid && request_digest_is_one(id)) {
+            crash_report_add_request(report, id, number);
+        }
+        else if (valid) {
+            crash_report_add(report, id, (uint32_t)number);
         }
         g_free(id);
     }
--- a/core/crash_report.h
+++ b/core/crash_report.h
@@ -4,19 +4,23 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* A gateway's report of the crash of an endpoint: the parts of the prompts
-   that the endpoint had from this gateway and left without any event. */
+/* A gateway's report of the crash of an endpoint: the requests that the
+   endpoint had from this gateway and left unfinished, and the parts of the
+   prompts among them that it left without any event. */
 
 struct _GArray;
 struct _GByteArray;
 
 enum {
-    CRASH_REPORT_MAX_PARTS = 64
+    CRASH_REPORT_MAX_PARTS = 128,
+    /* Depth of a whole request: no other request has it. */
+    CRASH_REPORT_REQUEST_DEPTH = UINT32_MAX,
 };
 
 struct crash_report_part {
-    char *id;
-    uint32_t depth; /* place in the prompt, from 0 */
+    char *id;         /* a part's, or from request_digest() */
+    uint32_t depth;   /* place in the prompt, from 0 */
+    uint64_t sent_ms; /* of a request: Unix time by the gateway's clock */
 };
 
 struct crash_report {
@@ -39,6 +43,11 @@
 void crash_report_add(struct crash_report *report, const char *id,
                       uint32_t depth);
 
+/* The same for a request, which was sent to the endpoint then. If it was sent
+   more than once, the last time counts. */
+void crash_report_add_request(struct crash_report *report, const char *digest,
+                              uint64_t sent_ms);
+
 /* Appends the report in the encoding that gateways keep in the store. */
 void crash_report_encode(const struct crash_report *report,
                          struct _GByteArray *out);
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -17,6 +17,9 @@
     /* By which the clocks of two gateways may differ, and less than an
        endpoint takes from one crash to the next. */
     MAX_SKEW_MS = 2500,
+    /* Between an end of a request and its being sent again, on clocks in whole
+       milliseconds of machines that are in time. */
+    SENT_AGAIN_SLACK_MS = 10,
     /* A part that got an event this recently is not reported for a crash. */
     RECENTLY_SERVED_MS = 2000,
     /* Crashes after which a contradiction is announced. It has to come before
@@ -35,6 +38,10 @@
     struct part *part;
     uint64_t revision; /* the lowest of the reports */
     uint64_t added_ms;
+    /* Of a request: when it was sent and ended, by the clock of the gateway
+       that sent it last. */
+    uint64_t sent_ms;
+    uint64_t ended_ms;
 };
 
 struct crash {
@@ -210,23 +217,34 @@
     return part;
 }
 
-static void
-add_suspicion(struct crash *crash, struct part *part, uint64_t revision,
-              uint64_t now_ms)
+static struct suspicion *
+find_suspicion(const struct crash *crash, const struct part *part)
 {
-    struct suspicion added = {
-        .part = part, .revision = revision, .added_ms = now_ms};
-
     for (guint i = 0; i < crash->suspicions->len; i++) {
         struct suspicion *suspicion =
             &g_array_index(crash->suspicions, struct suspicion, i);
 
         if (suspicion->part == part) {
-            suspicion->revision = MIN(suspicion->revision, revision);
-            return;
+            return suspicion;
         }
     }
-    g_array_append_val(crash->suspicions, added);
+    return NULL;
+}
+
+static void
+add_suspicion(struct crash *crash, const struct suspicion *added)
+{
+    struct suspicion *known = find_suspicion(crash, added->part);
+
+    if (known == NULL) {
+        g_array_append_val(crash->suspicions, *added);
+        return;
+    }
+    known->revision = MIN(known->revision, added->revision);
+    if (added->sent_ms > known->sent_ms) {
+        known->sent_ms = added->sent_ms;
+        known->ended_ms = added->ended_ms;
+    }
 }
 
 void
@@ -246,12 +264,16 @@
     g_hash_table_add(crash->gateways, g_strdup(report->gateway));
     crash->served_ms = MAX(crash->served_ms, report->served_ms);
     for (guint i = 0; i < report->parts->len; i++) {
-        add_suspicion(
-            crash,
-            find_or_add_part(
-                quarantine,
-                &g_array_index(report->parts, struct crash_report_part, i)),
-            revision, now_ms);
+        const struct crash_report_part *reported =
+            &g_array_index(report->parts, struct crash_report_part, i);
+        struct suspicion suspicion = {
+            .part = find_or_add_part(quarantine, reported),
+            .revision = revision,
+            .added_ms = now_ms,
+            .sent_ms = reported->sent_ms,
+            .ended_ms = report->crashed_ms};
+
+        add_suspicion(crash, &suspicion);
     }
     quarantine->changed = true;
 }
@@ -290,22 +312,39 @@
     return *served_ms + RECENTLY_SERVED_MS < *now_ms;
 }
 
+static void
+clear_crashes_before(struct quarantine *quarantine, const char *id,
+                     uint64_t now_ms)
+{
+    struct part *part = g_hash_table_lookup(quarantine->parts, id);
+
+    if (part != NULL) {
+        part->served_ms = now_ms;
+        quarantine->changed |= part->crashes->len > 0;
+    }
+}
+
 static void
 record_part_served(struct quarantine *quarantine, const char *id,
                    uint64_t now_ms)
 {
     uint64_t *served_ms = g_hash_table_lookup(quarantine->served, id);
-    struct part *part = g_hash_table_lookup(quarantine->parts, id);
 
     if (served_ms == NULL) {
         served_ms = g_new0(uint64_t, 1);
         g_hash_table_insert(quarantine->served, g_strdup(id), served_ms);
     }
     *served_ms = now_ms;
-    if (part != NULL) {
-        part->served_ms = now_ms;
-        quarantine->changed |= part->crashes->len > 0;
-    }
+    clear_crashes_before(quarantine, id, now_ms);
+}
+
+/* Requests are not kept among those served recently: one that is sound and
+   comes often is not at the end of three endpoints between two responses. */
+void
+quarantine_record_answered(struct quarantine *quarantine, const char *digest,
+                           uint64_t now_ms)
+{
+    clear_crashes_before(quarantine, digest, now_ms);
 }
 
 void
@@ -434,25 +473,43 @@
     }
 }
 
-/* Whether a crash may have the same cause as one at last_ms that is no
-   request. */
+/* Whether two crashes, the earlier one first, may have the same cause that is
+   no request. */
 static bool
-is_same_outage(const struct crash *crash, uint64_t last_ms)
+is_same_outage(const struct crash *earlier, const struct crash *crash)
 {
-    bool served_between = crash->served_ms > last_ms;
+    bool served_between = crash->served_ms > earlier->crashed_ms;
 
     return crash->crashed_ms <
-           last_ms + (served_between ? SAME_TIME_MS : SAME_OUTAGE_MS);
+           earlier->crashed_ms +
+               (served_between ? SAME_TIME_MS : SAME_OUTAGE_MS);
+}
+
+static bool
+is_request(const struct part *part)
+{
+    return part->depth == CRASH_REPORT_REQUEST_DEPTH;
 }
 
-/* Number of the crashes that no part under quarantine explains, those of one
-   outage as one. Crashes at which the part except was are left out; NULL: no
-   part. */
+/* Whether the request was sent to the endpoint of the crash after the earlier
+   one had ended it. */
+static bool
+is_sent_again(const struct part *request, const struct crash *earlier,
+              const struct crash *crash)
+{
+    return find_suspicion(crash, request)->sent_ms + SENT_AGAIN_SLACK_MS >=
+           find_suspicion(earlier, request)->ended_ms;
+}
+
+/* Number of a part's crashes that no part under quarantine explains, those of
+   one outage as one. Crashes at which the part except was are left out; NULL:
+   no part. */
 static uint32_t
-count_crashes(const GPtrArray *crashes, const struct part *except)
+count_crashes(const struct part *part, const GPtrArray *crashes,
+              const struct part *except)
 {
+    const struct crash *last = NULL;
     uint32_t count = 0;
-    uint64_t last_ms = 0;
 
     for (guint i = 0; i < crashes->len; i++) {
         struct crash *crash = g_ptr_array_index(crashes, i);
@@ -462,14 +519,34 @@
              g_ptr_array_find(except->crashes, crash, NULL))) {
             continue;
         }
-        if (count == 0 || !is_same_outage(crash, last_ms)) {
+        if (last == NULL ||
+            (is_request(part) ? is_sent_again(part, last, crash)
+                              : !is_same_outage(last, crash))) {
             count++;
-            last_ms = crash->crashed_ms;
+            last = crash;
         }
     }
     return count;
 }
 
+/* The same with each crash of an outage. */
+static uint32_t
+count_unexplained(const struct part *part, const struct part *except)
+{
+    uint32_t count = 0;
+
+    for (guint i = 0; i < part->crashes->len; i++) {
+        struct crash *crash = g_ptr_array_index(part->crashes, i);
+
+        count += !crash->explained &&
+                         (except == NULL ||
+                          !g_ptr_array_find(except->crashes, crash, NULL))
+                     ? 1
+                     : 0;
+    }
+    return count;
+}
+
 static bool
 is_better(const struct part *part, uint32_t count, const struct part *best,
           uint32_t best_count)
@@ -483,9 +560,23 @@
     return strcmp(part->id, best->id) < 0;
 }
 
+/* Whether a deeper part explains nearly as much as the one above. A request
+   must explain all: a part that crashes endpoints is in many requests, each of
+   which may come several times. */
+static bool
+can_replace(const struct part *part, const struct part *above)
+{
+    if (part->depth <= above->depth) {
+        return false;
+    }
+    return is_request(part) ? count_unexplained(above, part) == 0
+                            : count_crashes(above, above->crashes, part) <
+                                  QUARANTINE_CRASHES;
+}
+
 /* The part that was at most of the crashes that are not explained, and at
-   QUARANTINE_CRASHES or more of them. Among parts deeper than `above` only,
-   which leave less than QUARANTINE_CRASHES of its crashes; NULL: among all. */
+   QUARANTINE_CRASHES or more of them. Among parts that can replace `above`
+   only; NULL: among all. */
 static struct part *
 find_culprit(const struct quarantine *quarantine, const struct part *above)
 {
@@ -497,13 +588,12 @@
     g_hash_table_iter_init(&iter, quarantine->parts);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         struct part *part = value;
-        uint32_t count = count_crashes(part->crashes, NULL);
+        uint32_t count = count_unexplained(part, NULL);
 
-        if (part->quarantined || count < QUARANTINE_CRASHES ||
+        if (part->quarantined ||
+            count_crashes(part, part->crashes, NULL) < QUARANTINE_CRASHES ||
             !is_better(part, count, best, best_count) ||
-            (above != NULL &&
-             (part->depth <= above->depth ||
-              count_crashes(above->crashes, part) >= QUARANTINE_CRASHES))) {
+            (above != NULL && !can_replace(part, above))) {
             continue;
         }
         best = part;
@@ -629,7 +719,7 @@
         /* An own event removes earlier crashes from part->crashes alone. */
         if (!part->contradicted &&
             part->crashes->len < part->reported_crashes->len &&
-            count_crashes(part->reported_crashes, NULL) >=
+            count_crashes(part, part->reported_crashes, NULL) >=
                 CONTRADICTED_CRASHES) {
             part->contradicted = true;
             g_ptr_array_add(contradicted, g_strdup(part->id));
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -4,14 +4,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Finds the prompt parts that crash engines, so that requests with them are
-   refused instead of being sent to one engine after the other. Gateways report
-   the parts of the prompts that an engine left without an event when it
-   crashed. A part is put under quarantine if it was there at several crashes,
-   no other part explains these, and no request with it got an event since.
-   Crashes that follow each other closely count as one: engines that fail
-   together have another cause. Not thread-safe. Times are in milliseconds of
-   one monotonic clock. */
+/* Finds the requests and prompt parts that crash endpoints, so that such
+   requests are refused instead of being sent to one endpoint after the other.
+   Gateways report what an endpoint left unfinished when it crashed
+   (core/crash_report.h). A part is put under quarantine if it was there at
+   several crashes, no other part explains these, and no request with it got an
+   event since. Crashes that follow each other closely count as one: engines
+   that fail together have another cause. A whole request counts as a part that
+   is deeper in the prompt than all others. Its crashes count if it was sent
+   again after each, however close they are, and until it is answered. Not
+   thread-safe. Times are in milliseconds of one monotonic clock. */
 
 struct crash_report;
 struct quarantine;
@@ -43,6 +45,10 @@
 void quarantine_record_served(struct quarantine *quarantine,
                               char *const *parts, uint64_t now_ms);
 
+/* Records that this gateway got the whole response to the request. */
+void quarantine_record_answered(struct quarantine *quarantine,
+                                const char *digest, uint64_t now_ms);
+
 /* Whether this gateway got an event for a request with the part so recently
    that the part is not to be reported for a crash. */
 bool quarantine_was_served(const struct quarantine *quarantine, const char *id,
@@ -74,7 +80,7 @@
 struct _GPtrArray *quarantine_contradicted(struct quarantine *quarantine,
                                            uint64_t now_ms);
 
-/* Number of parts under quarantine. */
+/* Number of parts and requests under quarantine. */
 uint32_t quarantine_count(struct quarantine *quarantine, uint64_t now_ms);
 
 #endif
--- a/core/request_digest.c
+++ b/core/request_digest.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+static const char prefix[] = "request-";
+
 /* With the NUL, so that fields can't run into each other. */
 static void
 add_text(XXH3_state_t *state, const char *text)
@@ -30,6 +32,12 @@
     hash = XXH3_128bits_digest(state);
     XXH3_freeState(state);
     g_free(host);
-    return g_strdup_printf("%016" PRIx64 "%016" PRIx64, hash.high64,
+    return g_strdup_printf("%s%016" PRIx64 "%016" PRIx64, prefix, hash.high64,
                            hash.low64);
 }
+
+bool
+request_digest_is_one(const char *text)
+{
+    return g_str_has_prefix(text, prefix);
+}
--- a/core/request_digest.h
+++ b/core/request_digest.h
@@ -1,6 +1,7 @@
 #ifndef CORE_REQUEST_DIGEST_H
 #define CORE_REQUEST_DIGEST_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 /* What a request asks for, to recognize it when it comes again under another
@@ -14,8 +15,12 @@
     size_t body_bytes;
 };
 
-/* Returns 32 hexadecimal digits, the same for the same content. Not for use
-   against collisions that someone looks for. Free with g_free(). */
+/* Returns "request-" and 32 hexadecimal digits, the same for the same content.
+   Not for use against collisions that someone looks for. Free with g_free().
+ */
 char *request_digest(const struct request_content *content);
 
+/* Whether a text is a digest, and not the id of a prompt's part. */
+bool request_digest_is_one(const char *text);
+
 #endif
--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -83,8 +83,8 @@
     uint32_t count = crash_monitor_count(monitor);
 
     if (count != count_before) {
-        LOG_INFO("prompt parts under quarantine", "count=%u before=%u", count,
-                 count_before);
+        LOG_INFO("parts and requests under quarantine", "count=%u before=%u",
+                 count, count_before);
     }
 }
 
@@ -185,18 +185,23 @@
     finish_check(check, false);
 }
 
+static uint64_t
+to_unix_ms(const struct crash_monitor *monitor, uint64_t past_ms)
+{
+    return (uint64_t)(g_get_real_time() / US_PER_MS) -
+           (loop_now_ms(monitor->loop) - past_ms);
+}
+
 /* The report of a crash that has broken a connection now. */
 static struct crash_report *
 create_report(const struct crash_monitor *monitor, const char *endpoint)
 {
-    uint64_t unix_ms = (uint64_t)(g_get_real_time() / US_PER_MS);
-    uint64_t served_ms = 0;
+    uint64_t now_ms = loop_now_ms(monitor->loop);
+    uint64_t served_ms =
+        monitor->event_ms > 0 ? to_unix_ms(monitor, monitor->event_ms) : 0;
 
-    if (monitor->event_ms > 0) {
-        served_ms = unix_ms - (loop_now_ms(monitor->loop) - monitor->event_ms);
-    }
-    return crash_report_create(monitor->settings.instance, endpoint, unix_ms,
-                               served_ms);
+    return crash_report_create(monitor->settings.instance, endpoint,
+                               to_unix_ms(monitor, now_ms), served_ms);
 }
 
 static struct check *
@@ -219,14 +224,19 @@
 
 void
 crash_monitor_record_broken(struct crash_monitor *monitor,
-                            struct endpoint *endpoint, char *const *parts)
+                            struct endpoint *endpoint,
+                            const struct crash_suspects *suspects,
+                            uint64_t sent_ms, bool answered)
 {
+    struct crash_report *report = find_or_add_check(monitor, endpoint)->report;
     uint64_t now_ms = loop_now_ms(monitor->loop);
 
-    for (uint32_t i = 0; parts[i] != NULL; i++) {
-        if (!quarantine_was_served(monitor->quarantine, parts[i], now_ms)) {
-            crash_report_add(find_or_add_check(monitor, endpoint)->report,
-                             parts[i], i);
+    crash_report_add_request(report, suspects->request,
+                             to_unix_ms(monitor, sent_ms));
+    for (uint32_t i = 0; !answered && suspects->parts[i] != NULL; i++) {
+        if (!quarantine_was_served(monitor->quarantine, suspects->parts[i],
+                                   now_ms)) {
+            crash_report_add(report, suspects->parts[i], i);
         }
     }
 }
@@ -246,6 +256,14 @@
                              loop_now_ms(monitor->loop));
 }
 
+void
+crash_monitor_record_answered(struct crash_monitor *monitor,
+                              const char *request)
+{
+    quarantine_record_answered(monitor->quarantine, request,
+                               loop_now_ms(monitor->loop));
+}
+
 static void
 apply_report(struct crash_monitor *monitor, const struct store_item *item)
 {
@@ -325,25 +343,44 @@
     g_ptr_array_free(parts, TRUE);
 }
 
-bool
-crash_monitor_refuses(struct crash_monitor *monitor, char *const *parts,
-                      const struct peers *peers, uint32_t *left_ms)
+/* Whether a request with any of the ids, which are NULL-terminated, is to be
+   refused. */
+static bool
+refuses_any(struct crash_monitor *monitor, char *const *ids,
+            const struct peers *peers, uint32_t *left_ms)
 {
     uint64_t now_ms = loop_now_ms(monitor->loop);
-    const char *part =
-        quarantine_find(monitor->quarantine, parts, now_ms, left_ms);
+    const char *id =
+        quarantine_find(monitor->quarantine, ids, now_ms, left_ms);
 
-    if (part == NULL) {
+    if (id == NULL) {
         return false;
     }
-    if (!quarantine_try(monitor->quarantine, part, peers_rank(peers, part),
+    if (!quarantine_try(monitor->quarantine, id, peers_rank(peers, id),
                         now_ms)) {
         return true;
     }
-    LOG_INFO("a part under quarantine is tried", "part=%s", part);
+    LOG_INFO("one request with what is under quarantine is tried", "id=%s",
+             id);
     return false;
 }
 
+const char *
+crash_monitor_refuses(struct crash_monitor *monitor,
+                      const struct crash_suspects *suspects,
+                      const struct peers *peers, uint32_t *left_ms)
+{
+    char *const request[] = {(char *)suspects->request, NULL};
+
+    if (refuses_any(monitor, request, peers, left_ms)) {
+        return "the request crashes endpoints";
+    }
+    if (refuses_any(monitor, suspects->parts, peers, left_ms)) {
+        return "a part of the prompt crashes endpoints";
+    }
+    return NULL;
+}
+
 uint32_t
 crash_monitor_count(struct crash_monitor *monitor)
 {
--- a/gateway/crash_monitor.h
+++ b/gateway/crash_monitor.h
@@ -4,11 +4,12 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Keeps requests away from engines that their prompts would crash, see
-   core/quarantine.h. When a connection breaks before the first event, the
-   monitor checks whether the endpoint still accepts connections; if not, it
-   reports the prompt's parts to all gateways, through the store. Loop thread
-   only. Times are of loop_now_ms(). */
+/* Keeps requests away from endpoints that they would crash, see
+   core/quarantine.h. When a connection breaks before the end of a response,
+   the monitor checks whether the endpoint still accepts connections; if not,
+   it reports the request, and the parts of a prompt without any event, to all
+   gateways, through the store. Loop thread only. Times are of loop_now_ms().
+ */
 
 struct crash_monitor;
 struct endpoint;
@@ -29,11 +30,19 @@
                      struct store_writer *writer,
                      const struct crash_monitor_settings *settings);
 
-/* A connection to the endpoint broke before the first event of a request with
-   these shared parts, a NULL-terminated array that is copied. */
+/* What of a request may crash endpoints. */
+struct crash_suspects {
+    const char *request; /* from request_digest() */
+    char *const *parts;  /* shared parts of the prompt, NULL-terminated */
+};
+
+/* A connection to the endpoint broke, to which the request had been sent at
+   sent_ms. answered: after the first event, which clears the parts. suspects
+   are copied. */
 void crash_monitor_record_broken(struct crash_monitor *monitor,
                                  struct endpoint *endpoint,
-                                 char *const *parts);
+                                 const struct crash_suspects *suspects,
+                                 uint64_t sent_ms, bool answered);
 
 /* A prompt got an event. */
 void crash_monitor_record_event(struct crash_monitor *monitor);
@@ -42,6 +51,10 @@
 void crash_monitor_record_served(struct crash_monitor *monitor,
                                  char *const *parts);
 
+/* The whole response to a request has come. */
+void crash_monitor_record_answered(struct crash_monitor *monitor,
+                                   const char *request);
+
 /* Applies a report or an announcement that was read from the store, or its
    removal. peers may be NULL during the start. */
 void crash_monitor_apply(struct crash_monitor *monitor,
@@ -51,13 +64,15 @@
 /* Announces the parts that reports suspect wrongly. Called every 100 ms. */
 void crash_monitor_tick(struct crash_monitor *monitor);
 
-/* Returns whether a request with these shared parts is to be refused, and sets
-   *left_ms to how long that will last without further crashes. One request
-   with such a part is let through now and then, by one of the gateways. */
-bool crash_monitor_refuses(struct crash_monitor *monitor, char *const *parts,
-                           const struct peers *peers, uint32_t *left_ms);
+/* Returns why a request is to be refused, a static text, and sets *left_ms to
+   how long that will last without further crashes; NULL: it is not. One such
+   request is let through now and then, by one of the gateways. */
+const char *crash_monitor_refuses(struct crash_monitor *monitor,
+                                  const struct crash_suspects *suspects,
+                                  const struct peers *peers,
+                                  uint32_t *left_ms);
 
-/* Number of parts under quarantine. */
+/* Number of parts and requests under quarantine. */
 uint32_t crash_monitor_count(struct crash_monitor *monitor);
 
 #endif
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -58,6 +58,13 @@
     return loop_now_ms(forward->forwarder->deps.loop);
 }
 
+struct crash_suspects
+forward_suspects(const struct forward *forward)
+{
+    return (struct crash_suspects){.request = forward->digest,
+                                   .parts = forward->metadata.shared_parts};
+}
+
 struct peers *
 forward_peers(const struct forward *forward)
 {
@@ -343,6 +350,7 @@
 
     gateway_counters_count(COUNT_ATTEMPTS);
     forward->attempts++;
+    forward->sent_ms = forward_now_ms(forward);
     forward->paused = false;
     forward->upstream =
         upstreams_send(forward->forwarder->deps.upstreams,
@@ -436,17 +444,19 @@
 dispatch(struct forward *forward)
 {
     struct assignment *assignment = &forward->assignment;
+    struct crash_suspects suspects = forward_suspects(forward);
     struct placement_request request;
+    const char *why;
 
     if (forward->events != NULL) {
         event_stream_discard_partial(forward->events);
     }
-    if (crash_monitor_refuses(
-            forward->forwarder->deps.crashes, forward->metadata.shared_parts,
-            forward_peers(forward), &forward->expected_wait_ms)) {
+    why = crash_monitor_refuses(forward->forwarder->deps.crashes, &suspects,
+                                forward_peers(forward),
+                                &forward->expected_wait_ms);
+    if (why != NULL) {
         gateway_counters_count(COUNT_QUARANTINED);
-        relay_give_up(forward, STATUS_BAD_GATEWAY,
-                      "a part of the prompt crashes endpoints");
+        relay_give_up(forward, STATUS_BAD_GATEWAY, why);
         return;
     }
     forward->endpoint_wait_ms = UINT64_MAX;
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -9,6 +9,7 @@
 #include "core/call_metadata.h"
 #include "core/stream_latency.h"
 #include "gateway/assignment.h"
+#include "gateway/crash_monitor.h"
 #include "gateway/forward.h"
 
 /* The state of one forwarded request, shared by forward.c, which chooses
@@ -58,6 +59,7 @@
     bool waiting; /* in the forwarder's queue */
     /* The attempt in progress. */
     struct upstream *upstream; /* NULL: none */
+    uint64_t sent_ms;
     struct assignment assignment;
     /* All attempts. */
     char *tried_ids[FORWARD_MAX_TRIED];
@@ -90,6 +92,9 @@
 /* The caller's id of the request for logs, owned by the request; "-": none. */
 const char *forward_id(const struct forward *forward);
 
+/* Borrowed from the request. */
+struct crash_suspects forward_suspects(const struct forward *forward);
+
 uint64_t forward_now_ms(const struct forward *forward);
 struct peers *forward_peers(const struct forward *forward);
 
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -26,8 +26,8 @@
     uint64_t close_ms;
     /* How long a request waits for the process's first configuration. */
     uint64_t config_wait_ms;
-    /* How long a crash of an endpoint counts against a prompt part; 0: prompt
-       parts are not put under quarantine. */
+    /* How long a crash of an endpoint counts against a request or a prompt
+       part; 0: none is put under quarantine. */
     uint64_t quarantine_ms;
 };
 
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -363,6 +363,10 @@
         endpoint_record_failure(forward->assignment.placement.engines[0],
                                 forward_now_ms(forward));
     }
+    if (!forward->unframed) {
+        crash_monitor_record_answered(forward->forwarder->deps.crashes,
+                                      forward->digest);
+    }
     if (forward->response == RESPONSE_BUFFERED) {
         if (forward->status == STATUS_OK) {
             crash_monitor_record_served(forward->forwarder->deps.crashes,
@@ -380,14 +384,19 @@
     caller_stream_end(forward->caller, true);
 }
 
-/* The endpoint has broken the attempt off before the first event. */
+/* The endpoint has broken the attempt off. */
 static void
 record_broken(struct forward *forward)
 {
-    gateway_counters_count(COUNT_BROKEN_UNANSWERED);
+    struct crash_suspects suspects = forward_suspects(forward);
+
+    if (!forward->head_sent) {
+        gateway_counters_count(COUNT_BROKEN_UNANSWERED);
+    }
     crash_monitor_record_broken(forward->forwarder->deps.crashes,
                                 forward->assignment.placement.engines[0],
-                                forward->metadata.shared_parts);
+                                &suspects, forward->sent_ms,
+                                forward->head_sent);
 }
 
 /* Whether a stream was broken off. One without a length, chunks or any event
@@ -406,9 +415,7 @@
 
     forward->upstream = NULL;
     if (forward->response == RESPONSE_EVENTS && is_cut_short(forward)) {
-        if (!forward->head_sent) {
-            record_broken(forward);
-        }
+        record_broken(forward);
         forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                             "ended within an event");
         return;
@@ -425,7 +432,7 @@
     if (failure == UPSTREAM_ENDLESS) {
         gateway_counters_count(COUNT_ENDLESS);
     }
-    if (failure == UPSTREAM_MAY_HAVE_RUN && !forward->head_sent) {
+    if (failure == UPSTREAM_MAY_HAVE_RUN) {
         record_broken(forward);
     }
     forward_end_attempt(forward,
--- a/tests/faults/gateway_crashes_store_down.sh
+++ b/tests/faults/gateway_crashes_store_down.sh
@@ -11,9 +11,11 @@
     [ "$(prompt "$GATEWAY" "aa01:40,cc1:500,e1:460")" = 200 ]
 }
 # Workers that have ended start again under the ids that they had.
+PROMPTS=0
 learns_part() {
     local slot
-    prompt "$GATEWAY" "aa01:40,bad1:500,f1:460"
+    PROMPTS=$((PROMPTS + 1))
+    prompt "$GATEWAY" "aa01:40,bad1:500,f$PROMPTS:460"
     for slot in $SLOTS; do
         if has_crashed "$slot"; then
             reap "${RUN[$slot]}" || true
--- a/tests/faults/lib/crashing.sh
+++ b/tests/faults/lib/crashing.sh
@@ -37,23 +37,31 @@
     grep -q '^crashed' "$WORK/${RUN[$1]}.log"
 }
 
-# Counts the workers that have crashed, and starts them again.
+# is_reported SLOT: whether a gateway has noticed the crash of the worker.
+is_reported() {
+    grep -q "endpoint has crashed .*endpoint=worker-${ID[$1]} " \
+        "$WORK/gateway-1.log" "$WORK/gateway-2.log"
+}
+
+# Counts the workers that have crashed, and starts them again once a gateway has
+# noticed, since they would accept its connection.
 restart_crashed() {
     local slot
     for slot in $SLOTS; do
         if has_crashed "$slot"; then
             CRASHES=$((CRASHES + 1))
             reap "${RUN[$slot]}" || true
+            wait_until is_reported "$slot"
             store_control "remove?key=servers/worker-${ID[$slot]}"
             start_crashing "$slot"
         fi
     done
 }
 
-# prompt GATEWAY_URL PARTS: sends a prompt and prints the status. curl fails if
-# the response is cut off.
+# prompt GATEWAY_URL PARTS: sends a prompt, one of its own for other parts, and
+# prints the status. curl fails if the response is cut off.
 prompt() {
-    call "$1" /stream/x -d prompt -H 'Token-Usage: 1000,40' \
+    call "$1" /stream/x -d "prompt of $2" -H 'Token-Usage: 1000,40' \
         -H "Prompt-Prefix: $2" || true
 }
 
--- a/tests/quarantine_runner.c
+++ b/tests/quarantine_runner.c
@@ -1,15 +1,17 @@
 /* Runs a script of crashes in virtual time for several gateways that share a
-   store, and prints which prompts each of them refuses. PARTS are the ids of a
-   prompt's shared parts, separated by commas. A script has one command per
-   line:
+   store, and prints which prompts and requests each of them refuses. PARTS are
+   the ids of a prompt's shared parts, separated by commas. A script has one
+   command per line:
 
      gateways COUNT           starts gateways g1, g2, ...; first command
      at MS                    sets the time
      crash ENDPOINT GATEWAY PARTS [PARTS]...
                               the endpoint crashes, and that gateway reports
                               its prompts there that have got no event; the
-                              report is in the store at once
+                              report is in the store at once. NAME@MS among
+                              the parts is a whole request, sent at that time
      event GATEWAY PARTS      a prompt gets its first event
+     answered GATEWAY NAME    a request gets its whole response
      others COUNT             this and each later crash comes after an event
                               of some other prompt (1, the default) or not (0)
      tick                     the gateways announce what they know better
@@ -102,6 +104,21 @@
     return runner->gateways[number - 1];
 }
 
+static void
+report_part(const struct runner *runner, const struct quarantine *gateway,
+            struct crash_report *report, char *part, uint32_t depth)
+{
+    char *at = strchr(part, '@');
+
+    if (at != NULL) {
+        *at = '\0';
+        crash_report_add_request(report, part, strtoull(at + 1, NULL, 10));
+    }
+    else if (!quarantine_was_served(gateway, part, runner->now_ms)) {
+        crash_report_add(report, part, depth);
+    }
+}
+
 static void
 crash(struct runner *runner, char *const *words)
 {
@@ -114,9 +131,7 @@
         char **parts = g_strsplit(*word, ",", 0);
 
         for (uint32_t i = 0; parts[i] != NULL; i++) {
-            if (!quarantine_was_served(gateway, parts[i], runner->now_ms)) {
-                crash_report_add(report, parts[i], i);
-            }
+            report_part(runner, gateway, report, parts[i], i);
         }
         g_strfreev(parts);
     }
@@ -188,6 +203,10 @@
                                  runner->now_ms);
         g_strfreev(parts);
     }
+    else if (strcmp(words[0], "answered") == 0) {
+        quarantine_record_answered(find_gateway(runner, words[1]), words[2],
+                                   runner->now_ms);
+    }
     else if (strcmp(words[0], "tick") == 0) {
         tick(runner);
     }
