--- a/tests/fakes/fake_plain.c
+++ b/tests/fakes/fake_plain.c
@@ -2,7 +2,7 @@
    GET /control/executions returns the number of executions in total, of
    distinct requests, and the most executions of one request. A query ?delay=N
    makes the execution take N ms; ?cut=1 closes the connection after the
-   execution, without a response. */
+   execution, without a response; ?crash=1 ends the process instead. */
 
 #include <glib.h>
 #include <microhttpd.h>
@@ -75,6 +75,9 @@
                  XXH64(request->path, strlen(request->path), 0));
     count_execution(plain, hash);
     usleep((useconds_t)fake_query_number(request, "delay", 0) * US_PER_MS);
+    if (fake_has_query(request, "crash")) {
+        _exit(1);
+    }
     response->drop = fake_has_query(request, "cut");
     response->content_type = "application/json";
     response->body = g_strdup_printf(
