HTTP calls: a request that was sent on a kept connection counts as sent

An agent reported a request that had ended its service as not run, and the caller was told so: the request had been sent on a kept connection, which closed, and could not be sent again, since the service was gone. The error of the second try replaced that of the first.

/http-call/server-ends failed before (not sent) and passes; the ablation sent-requests-count-as-sent makes it fail. Found while crashes of services behind agents were counted: the first of them was missing now and then.

--- a/io/http_call.c
+++ b/io/http_call.c
@@ -342,9 +342,13 @@
     }
     else {
         attempt(session, message, head_only);
-        /* The peer may have closed the kept connection meanwhile. */
+        /* The peer may have closed the kept connection meanwhile, or ended
+           with the request. */
         if (reused && call.closed && !call.begun) {
             attempt(session, message, head_only);
+            if (call.error == HTTP_ERROR_NOT_SENT) {
+                call.error = HTTP_ERROR_NO_RESPONSE;
+            }
         }
     }
     session->call = NULL;
--- a/tests/unit/test_http_call.c
+++ b/tests/unit/test_http_call.c
@@ -29,6 +29,7 @@
     uint32_t requests_per_connection;
     bool silent_then;
     uint32_t connections; /* that it accepts */
+    bool ends;            /* it is gone when it drops a request */
 };
 
 struct server {
@@ -84,6 +85,10 @@
             if (script->silent_then) {
                 read_request(fd);
             }
+            if (script->ends) {
+                close(server->listener);
+                server->listener = -1;
+            }
             return;
         }
         requests++;
@@ -134,7 +139,9 @@
 stop_server(struct server *server)
 {
     pthread_join(server->thread, NULL);
-    close(server->listener);
+    if (server->listener >= 0) {
+        close(server->listener);
+    }
 }
 
 /* Starts the server and creates a session to it, with one time for all its
@@ -203,13 +210,13 @@
     static const char *const bounds[] = {in_time, in_bytes, in_time,
                                          in_time, in_bytes, in_time};
     static const struct script scripts[] = {
-        {"HTTP/1.1 200 OK\r\nX-Long: ", "x", true, 0, false, 1},
-        {"HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxx", false, 0, false, 1},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", "x", true, 0, false, 1, false},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxx", false, 0, false, 1, false},
         {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", "x", true, 0, false,
-         1},
-        {"HTTP/1.1 200 OK\r\n\r\n", "x", true, 0, false, 1},
-        {"", "HTTP/1.1 102 Processing\r\n\r\n", false, 0, false, 1},
-        {"", "\r\n", true, 0, false, 1},
+         1, false},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x", true, 0, false, 1, false},
+        {"", "HTTP/1.1 102 Processing\r\n\r\n", false, 0, false, 1, false},
+        {"", "\r\n", true, 0, false, 1, false},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
@@ -229,7 +236,7 @@
 test_body_too_long(void)
 {
     static const struct script script = {
-        "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx", false, 0, false, 1};
+        "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx", false, 0, false, 1, false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -245,7 +252,8 @@
 static void
 test_kept_connection_closed(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 1, false, 2};
+    static const struct script script = {RESPONSE, NULL, false, 1,
+                                         false,    2,    false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -260,7 +268,7 @@
 static void
 test_not_resent(void)
 {
-    static const struct script script = {"", "", false, 0, false, 1};
+    static const struct script script = {"", "", false, 0, false, 1, false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -273,12 +281,31 @@
     g_assert_cmpuint(server.requests, ==, 1);
 }
 
+/* Guards against a request that was sent on a kept connection and counts as
+   not sent, since the server is gone when it is to be sent again. */
+static void
+test_server_ends(void)
+{
+    static const struct script script = {RESPONSE, NULL, false, 1,
+                                         false,    1,    true};
+    struct server server;
+    struct http_session *session;
+    enum http_error code = HTTP_ERROR_NOT_SENT;
+
+    session = open_session(&server, &script, true, 60);
+    g_assert_cmpuint(call(session, &code), ==, STATUS_OK);
+    g_assert_cmpuint(call(session, &code), ==, 0);
+    g_assert_cmpint(code, ==, HTTP_ERROR_NO_RESPONSE);
+    close_session(&server, session);
+}
+
 /* The timeouts of a call are its own, also on a connection that an earlier
    call with longer ones has opened. */
 static void
 test_timeouts_of_each_call(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 1, true, 1};
+    static const struct script script = {RESPONSE, NULL, false, 1,
+                                         true,     1,    false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -303,7 +330,8 @@
         false,
         0,
         false,
-        1};
+        1,
+        false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -322,7 +350,8 @@
 static void
 test_responses_without_id(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 0, false, 2};
+    static const struct script script = {RESPONSE, NULL, false, 0,
+                                         false,    2,    false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -339,7 +368,8 @@
 static void
 test_refused(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 0, false, 0};
+    static const struct script script = {RESPONSE, NULL, false, 0,
+                                         false,    0,    false};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NO_RESPONSE;
@@ -362,6 +392,7 @@
     g_test_add_func("/http-call/kept-connection-closed",
                     test_kept_connection_closed);
     g_test_add_func("/http-call/not-resent", test_not_resent);
+    g_test_add_func("/http-call/server-ends", test_server_ends);
     g_test_add_func("/http-call/timeouts-of-each-call",
                     test_timeouts_of_each_call);
     g_test_add_func("/http-call/refused", test_refused);
