Entry: a request that crashes services is refused

The same cause as at the gateways: an entry sent one plain call to one service after the other, and short prompts, which have no prefix, to one engine after the other; each ended. The entry remembered the prefixes of prompts alone.

The requests that a service breaks off are remembered by their digest, in the quarantine that was there. The module has a name for all endpoints now.

--- a/entry/main.c
+++ b/entry/main.c
@@ -11,7 +11,7 @@
 #include "entry/agents.h"
 #include "entry/claims.h"
 #include "entry/config_links.h"
-#include "entry/engine_crashes.h"
+#include "entry/endpoint_crashes.h"
 #include "entry/entry_counters.h"
 #include "entry/entry_settings.h"
 #include "entry/front.h"
@@ -299,7 +299,7 @@
         .max_candidates = (uint32_t)from->max_candidates,
         .resume_ms = (uint32_t)from->resume_ms,
         .max_attempts = (uint32_t)from->max_attempts};
-    struct engine_crashes *crashes;
+    struct endpoint_crashes *crashes;
 
     entry->members =
         members_create(from->data_centre, (enum members_policy)from->policy,
@@ -308,7 +308,7 @@
     entry->claims =
         claims_create(entry->loop, entry->workers, entry->platform.store.ip,
                       entry->platform.store.port);
-    crashes = engine_crashes_create((uint32_t)from->quarantine_ms);
+    crashes = endpoint_crashes_create((uint32_t)from->quarantine_ms);
     entry->requests =
         requests_create(entry->loop, &binding, entry->identity.incarnation,
                         entry->members, crashes);
--- a/entry/request.c
+++ b/entry/request.c
@@ -6,7 +6,7 @@
 #include "core/config.h"
 #include "core/members.h"
 #include "entry/agents.h"
-#include "entry/engine_crashes.h"
+#include "entry/endpoint_crashes.h"
 #include "entry/entry_counters.h"
 #include "io/loop.h"
 #include "io/published_config.h"
@@ -20,7 +20,7 @@
     struct binding_settings settings;
     uint64_t incarnation;
     struct members *members;
-    struct engine_crashes *crashes;
+    struct endpoint_crashes *crashes;
     struct agents *agents;
     GRand *rand;
     uint64_t last_counter;
@@ -35,6 +35,7 @@
     struct request *next_same_id;
     bool registered;
     struct request_spec spec; /* owns its strings and arrays */
+    uint64_t granted_ms;      /* the last time; 0: not yet */
     struct request_handlers handlers;
     void *data;
     struct binding *binding;
@@ -65,7 +66,7 @@
 struct requests *
 requests_create(struct loop *loop, const struct binding_settings *settings,
                 uint64_t incarnation, struct members *members,
-                struct engine_crashes *crashes)
+                struct endpoint_crashes *crashes)
 {
     struct requests *requests = g_new0(struct requests, 1);
 
@@ -272,6 +273,7 @@
     struct agents *agents = request->requests->agents;
     struct message message = make_message(request, MESSAGE_GRANT, attempt);
 
+    request->granted_ms = loop_now_ms(request->requests->loop);
     message.budget_ms = budget_ms;
     g_strlcpy(message.method, spec->method, sizeof(message.method));
     g_strlcpy(message.path, spec->path, sizeof(message.path));
@@ -400,12 +402,14 @@
         g_strdup(spec->memory_parts != NULL ? spec->memory_parts : "");
     copy->prefixes =
         g_memdup2(spec->prefixes, spec->prefix_count * sizeof(uint64_t));
+    copy->digest = g_strdup(spec->digest);
     g_bytes_ref(copy->body);
 }
 
 static void
 free_spec(struct request_spec *spec)
 {
+    g_free((char *)spec->digest);
     g_free((char *)spec->account);
     g_free((char *)spec->pool);
     g_free((char *)spec->method);
@@ -567,34 +571,40 @@
     }
 }
 
-/* Records prompts that an engine has broken off before the first byte, and
-   those that get it. */
+/* Records requests that an endpoint has broken off, and those that it
+   answers. */
 static void
 record_crashes(const struct request *request, uint32_t node,
                const struct message *message, uint64_t now_ms)
 {
-    struct requests *requests = request->requests;
+    struct endpoint_crashes *crashes = request->requests->crashes;
     const struct request_spec *spec = &request->spec;
+    const struct endpoint_crash_suspects suspects = {
+        .request = spec->digest,
+        .prefixes = spec->prefixes,
+        .prefix_count = spec->prefix_count};
+    bool answered = binding_received_bytes(request->binding) > 0;
 
-    if (spec->work_class != WORK_PROMPT) {
+    if (spec->digest == NULL) {
         return;
     }
-    if (message->type == MESSAGE_CHUNK) {
-        engine_crashes_record_bytes(requests->crashes, now_ms);
+    if (message->type == MESSAGE_CHUNK && spec->work_class == WORK_PROMPT) {
+        endpoint_crashes_record_bytes(crashes, now_ms);
+        if (!answered) {
+            endpoint_crashes_record_served(crashes, &suspects, now_ms);
+        }
     }
-    if (binding_received_bytes(request->binding) > 0) {
+    if (message->type != MESSAGE_END) {
         return;
     }
-    if (message->type == MESSAGE_CHUNK) {
-        engine_crashes_record_served(requests->crashes, spec->prefixes,
-                                     spec->prefix_count, now_ms);
+    if (message->reason == REASON_NONE) {
+        endpoint_crashes_record_answered(crashes, &suspects, now_ms);
     }
-    else if (message->type == MESSAGE_END &&
-             message->reason == REASON_ENDPOINT_FAILED &&
+    else if (message->reason == REASON_ENDPOINT_FAILED &&
              message->outcome != OUTCOME_NOT_RUN) {
-        engine_crashes_record_broken(
-            requests->crashes, members_get(requests->members, node)->instance,
-            spec->prefixes, spec->prefix_count, now_ms);
+        endpoint_crashes_record_broken(
+            crashes, members_get(request->requests->members, node)->instance,
+            &suspects, request->granted_ms, answered, now_ms);
     }
 }
 
--- a/entry/request.h
+++ b/entry/request.h
@@ -15,7 +15,7 @@
    are those of loop_now_ms(). Loop thread only. */
 
 struct agents;
-struct engine_crashes;
+struct endpoint_crashes;
 struct loop;
 struct members;
 struct request;
@@ -45,6 +45,7 @@
     const char *content_type; /* NULL: none */
     const char *memory_parts; /* held at other engines; NULL: none */
     struct _GBytes *body;     /* the request takes a reference */
+    const char *digest;       /* from request_digest(); NULL: a hold */
 };
 
 /* None of the handlers may destroy the request. */
@@ -72,7 +73,7 @@
 struct requests *requests_create(struct loop *loop,
                                  const struct binding_settings *settings,
                                  uint64_t incarnation, struct members *members,
-                                 struct engine_crashes *crashes);
+                                 struct endpoint_crashes *crashes);
 /* Sets the links to the agents. It is called before the first request, and
    separately, since agents_create() needs handlers that call this module. */
 void requests_set_agents(struct requests *requests, struct agents *agents);
--- a/entry/session.c
+++ b/entry/session.c
@@ -9,9 +9,10 @@
 #include "core/members.h"
 #include "core/message.h"
 #include "core/prefix.h"
+#include "core/request_digest.h"
 #include "core/retry_budget.h"
 #include "entry/claims.h"
-#include "entry/engine_crashes.h"
+#include "entry/endpoint_crashes.h"
 #include "entry/entry_counters.h"
 #include "entry/error_body.h"
 #include "entry/front.h"
@@ -42,7 +43,7 @@
     struct requests *requests;
     struct worker_pool *workers;
     struct claims *claims;
-    struct engine_crashes *crashes;
+    struct endpoint_crashes *crashes;
     GRand *rand;
     GHashTable *retry_budgets; /* route name to struct retry_budget */
 };
@@ -74,6 +75,7 @@
        later attempt of this session replaces that claim. 0: none. */
     uint64_t claim_index;
     uint64_t fingerprint;
+    char *digest; /* from request_digest(); NULL: not routed yet */
 
     struct request *request; /* NULL: not started, or waits for a group */
     struct group *group;     /* NULL: one engine is enough */
@@ -90,7 +92,7 @@
 sessions_create(struct loop *loop, const struct sessions_settings *settings,
                 struct members *members, struct requests *requests,
                 struct worker_pool *workers, struct claims *claims,
-                struct engine_crashes *crashes)
+                struct endpoint_crashes *crashes)
 {
     struct sessions *sessions = g_new0(struct sessions, 1);
 
@@ -127,6 +129,7 @@
     request_destroy(session->request);
     group_destroy(session->group);
     prompt_clear(&session->prompt);
+    g_free(session->digest);
     g_free(session->claim_key);
     g_free(session->account);
     g_free(session->pool);
@@ -260,19 +263,20 @@
                      body);
 }
 
-/* Whether the prompt is under quarantine, and for how long. left_ms may be
+/* Whether the request is under quarantine, and for how long. left_ms may be
    NULL. */
 static bool
-crashes_engines(const struct session *session, uint32_t *left_ms)
+crashes_endpoints(const struct session *session, uint32_t *left_ms)
 {
+    const struct endpoint_crash_suspects suspects = {
+        .request = session->digest,
+        .prefixes = session->prompt.prefixes,
+        .prefix_count = session->prompt.prefix_count};
     uint32_t ignored_ms;
 
-    return session->work_class == WORK_PROMPT &&
-           engine_crashes_find(session->sessions->crashes,
-                               session->prompt.prefixes,
-                               session->prompt.prefix_count,
-                               loop_now_ms(session->sessions->loop),
-                               left_ms != NULL ? left_ms : &ignored_ms);
+    return endpoint_crashes_find(session->sessions->crashes, &suspects,
+                                 loop_now_ms(session->sessions->loop),
+                                 left_ms != NULL ? left_ms : &ignored_ms);
 }
 
 /* Handlers of the request. */
@@ -284,7 +288,7 @@
 
     /* A prompt on several engines is not sent again by itself. Only if a hold
        fails, on_group_failed() may create the whole group anew. */
-    return session->group == NULL && !crashes_engines(session, NULL) &&
+    return session->group == NULL && !crashes_endpoints(session, NULL) &&
            retry_budget_spend(
                get_retry_budget(session->sessions, session->route));
 }
@@ -497,7 +501,8 @@
         .path = exchange_target(session->exchange),
         .content_type = exchange_header(session->exchange, "Content-Type"),
         .memory_parts = parts,
-        .body = session->body};
+        .body = session->body,
+        .digest = session->digest};
 
     session->request =
         request_create(session->sessions->requests, &spec, &handlers, session);
@@ -665,6 +670,21 @@
     return true;
 }
 
+static char *
+compute_digest(const struct session *session)
+{
+    gsize bytes;
+    const void *body = g_bytes_get_data(session->body, &bytes);
+    const struct request_content content = {
+        .account = session->account,
+        .method = exchange_method(session->exchange),
+        .target = exchange_target(session->exchange),
+        .body = body,
+        .body_bytes = bytes};
+
+    return request_digest(&content);
+}
+
 static void
 route_request(struct session *session)
 {
@@ -692,9 +712,11 @@
     if (session->responded || !read_idempotency_key(session)) {
         return;
     }
-    if (crashes_engines(session, &left_ms)) {
+    session->digest = compute_digest(session);
+    if (crashes_endpoints(session, &left_ms)) {
         refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE, "quarantined",
-               "prompts that begin like this one crash engines", left_ms);
+               "this request, or prompts that begin like it, crash endpoints",
+               left_ms);
         return;
     }
     if (several_engines) {
--- a/entry/session.h
+++ b/entry/session.h
@@ -9,7 +9,7 @@
    reports a failure also tells whether the request ran. Loop thread only. */
 
 struct claims;
-struct engine_crashes;
+struct endpoint_crashes;
 struct exchange;
 struct loop;
 struct members;
@@ -29,7 +29,7 @@
 sessions_create(struct loop *loop, const struct sessions_settings *settings,
                 struct members *members, struct requests *requests,
                 struct worker_pool *workers, struct claims *claims,
-                struct engine_crashes *crashes);
+                struct endpoint_crashes *crashes);
 
 /* Handle the events of entry/front.h: a complete request has arrived; its
    exchange ends; the caller has disconnected; the connection has taken a part
--- a/tests/faults/crashing_call.sh
+++ b/tests/faults/crashing_call.sh
@@ -19,28 +19,40 @@
     done
 }
 
-# call ENTRY_URL TARGET: sends a call and prints the status.
+# call ENTRY_URL TARGET [CURL_ARGUMENTS]: sends a call and prints the status.
 call() {
     fetch -H 'X-Time-Limit-Ms: 3000' -o "$WORK/body" -D "$WORK/call.head" \
-        -w '%{http_code}' "$1/raspored/appointments/$2" || true
+        -w '%{http_code}' "${@:3}" "$1/raspored/$2" || true
 }
 
 is_served() {
-    [ "$(call "$1" 1)" = 200 ]
+    [ "$(call "$1" appointments/1)" = 200 ]
 }
 
-# The rule: after a request has ended three services, three more get it.
-for n in $(seq 1 6); do
+# expect_few_ends TARGET [CURL_ARGUMENTS]: sends the call 12 times. The rule:
+# after it has ended three services, three more get it.
+expect_few_ends() {
+    local n url before=$ENDED
+    for n in $(seq 1 6); do
+        for url in "$ENTRY" "$ENTRY2"; do
+            call "$url" "$@" >"$WORK/status"
+            restart_ended
+            wait_until is_served "$url"
+        done
+    done
+    [ $((ENDED - before)) -le 6 ] ||
+        fail "12 times $1 ended $((ENDED - before)) services, not 6 at most"
     for url in "$ENTRY" "$ENTRY2"; do
-        call "$url" '1?crash=1' >"$WORK/status"
-        restart_ended
-        wait_until is_served "$url"
+        expect "$1" "$(call "$url" "$@")" 503
+        expect "its outcome" "$(header_of call X-Dandelionfork-Outcome)" not-run
+        grep -qi '^Retry-After: ' "$WORK/call.head" ||
+            fail "the refusal has no Retry-After"
     done
-done
-[ "$ENDED" -le 6 ] || fail "12 calls ended $ENDED services, not 6 at most"
-for url in "$ENTRY" "$ENTRY2"; do
-    expect "the call" "$(call "$url" '1?crash=1')" 503
-    expect "its outcome" "$(header_of call X-Dandelionfork-Outcome)" not-run
-    grep -qi '^Retry-After: ' "$WORK/call.head" ||
-        fail "the refusal has no Retry-After"
-done
+}
+
+expect_few_ends 'appointments/1?crash=1'
+# A call that must run once, and the same with another body.
+expect_few_ends 'visits?crash=1' -d '{"visit":1}'
+expect "another body" \
+    "$(call "$ENTRY" 'visits?crash=1' -d '{"visit":2}')" 502
+restart_ended
--- a/tests/faults/crashing_prompt.sh
+++ b/tests/faults/crashing_prompt.sh
@@ -46,3 +46,15 @@
 expect "its outcome" "$(header_of ask X-Dandelionfork-Outcome)" not-run
 grep -qi '^Retry-After: ' "$WORK/ask.head" ||
     fail "the refusal has no Retry-After"
+
+# One prompt that is too short to begin like others. The rule allows three more
+# ends after three.
+before=$ENDED
+for n in $(seq 1 8); do
+    ask 300 true z >"$WORK/status"
+    restart_ended
+    wait_until is_served 300 y
+done
+[ $((ENDED - before)) -le 6 ] ||
+    fail "8 times a short prompt ended $((ENDED - before)) engines, not 6 at most"
+expect "the short prompt" "$(ask 300 true z)" 503
