--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -3,23 +3,10 @@
 #include <glib.h>
 #include <string.h>
 
+#include "core/crash.h"
 #include "core/crash_report.h"
 
 enum {
-    /* Endpoints that crash within the first time may have a common cause that
-       is no request, such as a power failure, and count as one crash. If no
-       prompt got an event in between, so do those within the second one. */
-    SAME_TIME_MS = 100,
-    SAME_OUTAGE_MS = 300,
-    /* Reports of one endpoint this close to each other are of one crash: it
-       takes longer to start again and to crash again. */
-    SAME_CRASH_MS = 1000,
-    /* By which the clocks of two gateways may differ, and less than an
-       endpoint takes from one crash to the next. */
-    MAX_SKEW_MS = 2500,
-    /* Between an end of a request and its being sent again, on clocks in whole
-       milliseconds of machines that are in time. */
-    SENT_AGAIN_SLACK_MS = 10,
     /* A part that got an event this recently is not reported for a crash. */
     RECENTLY_SERVED_MS = 2000,
     /* Crashes after which a contradiction is announced. It has to come before
@@ -33,27 +20,6 @@
     MAX_ANNOUNCED = 4096, /* entries at which all are forgotten */
 };
 
-/* A part that was at a crash. */
-struct suspicion {
-    struct part *part;
-    uint64_t revision; /* the lowest of the reports */
-    uint64_t added_ms;
-    /* Of a request: when it was sent and ended, by the clock of the gateway
-       that sent it last. */
-    uint64_t sent_ms;
-    uint64_t ended_ms;
-};
-
-struct crash {
-    char *endpoint;
-    GHashTable *gateways; /* names of those that have reported it, owned */
-    uint64_t crashed_ms;
-    uint64_t served_ms; /* last event of any prompt before it; 0: none */
-    uint64_t added_ms;
-    GArray *suspicions; /* struct suspicion */
-    bool explained;     /* by a part under quarantine */
-};
-
 /* A part that was at a crash that still counts. */
 struct part {
     char *id;
@@ -98,24 +64,14 @@
     g_free(part);
 }
 
-static void
-free_crash(gpointer data)
-{
-    struct crash *crash = data;
-
-    g_array_free(crash->suspicions, TRUE);
-    g_hash_table_destroy(crash->gateways);
-    g_free(crash->endpoint);
-    g_free(crash);
-}
-
 struct quarantine *
 quarantine_create(uint32_t period_ms)
 {
     struct quarantine *quarantine = g_new0(struct quarantine, 1);
 
     quarantine->period_ms = period_ms;
-    quarantine->crashes = g_ptr_array_new_with_free_func(free_crash);
+    quarantine->crashes =
+        g_ptr_array_new_with_free_func((GDestroyNotify)crash_destroy);
     quarantine->parts =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_part);
     quarantine->served =
@@ -140,59 +96,22 @@
 
 /* Reports. */
 
-static uint64_t
-distance_ms(uint64_t a_ms, uint64_t b_ms)
-{
-    return a_ms > b_ms ? a_ms - b_ms : b_ms - a_ms;
-}
-
-/* Whether a report is of that crash: by its time, or, as the gateways' clocks
-   may differ, since it comes at the same time from a gateway that has not
-   reported the crash yet. */
-static bool
-is_report_of(const struct crash_report *report, const struct crash *crash,
-             uint64_t now_ms)
-{
-    uint64_t apart_ms = distance_ms(crash->crashed_ms, report->crashed_ms);
-
-    if (strcmp(crash->endpoint, report->endpoint) != 0) {
-        return false;
-    }
-    return apart_ms <= SAME_CRASH_MS ||
-           (apart_ms <= MAX_SKEW_MS &&
-            now_ms - crash->added_ms <= SAME_CRASH_MS &&
-            !g_hash_table_contains(crash->gateways, report->gateway));
-}
-
 static struct crash *
-find_crash(const struct quarantine *quarantine,
-           const struct crash_report *report, uint64_t now_ms)
+find_or_add_crash(struct quarantine *quarantine,
+                  const struct crash_report *report, uint64_t now_ms)
 {
-    for (guint i = quarantine->crashes->len; i > 0; i--) {
-        struct crash *crash = g_ptr_array_index(quarantine->crashes, i - 1);
+    struct crash *crash;
 
-        if (is_report_of(report, crash, now_ms)) {
+    for (guint i = quarantine->crashes->len; i > 0; i--) {
+        crash = g_ptr_array_index(quarantine->crashes, i - 1);
+        if (crash_is_told_by(crash, report, now_ms)) {
             return crash;
         }
     }
-    return NULL;
-}
-
-static struct crash *
-add_crash(struct quarantine *quarantine, const struct crash_report *report,
-          uint64_t now_ms)
-{
-    struct crash *crash = g_new0(struct crash, 1);
-
     if (quarantine->crashes->len >= MAX_CRASHES) {
         g_ptr_array_remove_index(quarantine->crashes, 0);
     }
-    crash->endpoint = g_strdup(report->endpoint);
-    crash->gateways =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    crash->crashed_ms = report->crashed_ms;
-    crash->added_ms = now_ms;
-    crash->suspicions = g_array_new(FALSE, FALSE, sizeof(struct suspicion));
+    crash = crash_create(report, now_ms);
     g_ptr_array_add(quarantine->crashes, crash);
     return crash;
 }
@@ -217,36 +136,6 @@
     return part;
 }
 
-static struct suspicion *
-find_suspicion(const struct crash *crash, const struct part *part)
-{
-    for (guint i = 0; i < crash->suspicions->len; i++) {
-        struct suspicion *suspicion =
-            &g_array_index(crash->suspicions, struct suspicion, i);
-
-        if (suspicion->part == part) {
-            return suspicion;
-        }
-    }
-    return NULL;
-}
-
-static void
-add_suspicion(struct crash *crash, const struct suspicion *added)
-{
-    struct suspicion *known = find_suspicion(crash, added->part);
-
-    if (known == NULL) {
-        g_array_append_val(crash->suspicions, *added);
-        return;
-    }
-    known->revision = MIN(known->revision, added->revision);
-    if (added->sent_ms > known->sent_ms) {
-        known->sent_ms = added->sent_ms;
-        known->ended_ms = added->ended_ms;
-    }
-}
-
 void
 quarantine_add_report(struct quarantine *quarantine,
                       const struct crash_report *report, uint64_t revision,
@@ -257,23 +146,19 @@
     if (quarantine->period_ms == 0) {
         return;
     }
-    crash = find_crash(quarantine, report, now_ms);
-    if (crash == NULL) {
-        crash = add_crash(quarantine, report, now_ms);
-    }
-    g_hash_table_add(crash->gateways, g_strdup(report->gateway));
-    crash->served_ms = MAX(crash->served_ms, report->served_ms);
+    crash = find_or_add_crash(quarantine, report, now_ms);
+    crash_add_report(crash, report);
     for (guint i = 0; i < report->parts->len; i++) {
         const struct crash_report_part *reported =
             &g_array_index(report->parts, struct crash_report_part, i);
-        struct suspicion suspicion = {
+        struct crash_suspicion suspicion = {
             .part = find_or_add_part(quarantine, reported),
             .revision = revision,
             .added_ms = now_ms,
             .sent_ms = reported->sent_ms,
             .ended_ms = report->crashed_ms};
 
-        add_suspicion(crash, &suspicion);
+        crash_add_suspicion(crash, &suspicion);
     }
     quarantine->changed = true;
 }
@@ -404,8 +289,8 @@
 {
     crash->explained = false;
     for (guint i = 0; i < crash->suspicions->len; i++) {
-        const struct suspicion *suspicion =
-            &g_array_index(crash->suspicions, struct suspicion, i);
+        const struct crash_suspicion *suspicion =
+            &g_array_index(crash->suspicions, struct crash_suspicion, i);
         struct part *part = suspicion->part;
 
         if (suspicion->revision <= part->served_revision) {
@@ -438,9 +323,9 @@
         const struct crash *crash = g_ptr_array_index(quarantine->crashes, i);
 
         for (guint j = 0; j < crash->suspicions->len; j++) {
-            g_hash_table_add(
-                present,
-                g_array_index(crash->suspicions, struct suspicion, j).part);
+            g_hash_table_add(present, g_array_index(crash->suspicions,
+                                                    struct crash_suspicion, j)
+                                          .part);
         }
     }
     g_hash_table_foreach_remove(quarantine->parts, has_no_crash, present);
@@ -473,34 +358,12 @@
     }
 }
 
-/* Whether two crashes, the earlier one first, may have the same cause that is
-   no request. */
-static bool
-is_same_outage(const struct crash *earlier, const struct crash *crash)
-{
-    bool served_between = crash->served_ms > earlier->crashed_ms;
-
-    return crash->crashed_ms <
-           earlier->crashed_ms +
-               (served_between ? SAME_TIME_MS : SAME_OUTAGE_MS);
-}
-
 static bool
 is_request(const struct part *part)
 {
     return part->depth == CRASH_REPORT_REQUEST_DEPTH;
 }
 
-/* Whether the request was sent to the endpoint of the crash after the earlier
-   one had ended it. */
-static bool
-is_sent_again(const struct part *request, const struct crash *earlier,
-              const struct crash *crash)
-{
-    return find_suspicion(crash, request)->sent_ms + SENT_AGAIN_SLACK_MS >=
-           find_suspicion(earlier, request)->ended_ms;
-}
-
 /* Number of a part's crashes that no part under quarantine explains, those of
    one outage as one. Crashes at which the part except was are left out; NULL:
    no part. */
@@ -520,8 +383,8 @@
             continue;
         }
         if (last == NULL ||
-            (is_request(part) ? is_sent_again(part, last, crash)
-                              : !is_same_outage(last, crash))) {
+            (is_request(part) ? crash_is_sent_again(last, crash, part)
+                              : !crash_is_same_outage(last, crash))) {
             count++;
             last = crash;
         }
