Entry: a caller whose body is too long sees the response while it still sends

The answer still comes at once. Ruled out: to read the body before the answer, since a caller that knows it would not send it.

--- a/entry/front.c
+++ b/entry/front.c
@@ -12,6 +12,7 @@
 
 #include "core/outcome.h"
 #include "entry/error_body.h"
+#include "entry/lingering.h"
 #include "entry/slow_callers.h"
 #include "io/log.h"
 #include "io/loop.h"
@@ -35,6 +36,7 @@
     struct MHD_Daemon *daemon;
     struct loop_timer *timer;
     struct slow_callers *slow_callers;
+    struct lingering *lingering; /* sockets with unread bodies */
     bool run_posted;
     uint64_t body_memory_used; /* bytes, of all exchanges */
     uint32_t open_exchanges;
@@ -63,6 +65,7 @@
     bool suspended;
     bool response_queued; /* passed to libmicrohttpd */
     bool refused;         /* by this module; the handlers are not called */
+    bool body_unread;     /* and before its body was read */
     char *method;
     char *path;
     char *target;
@@ -383,20 +386,26 @@
     return info->socket_context;
 }
 
+static int
+connection_fd(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
 static void
 on_connection(void *data, struct MHD_Connection *connection, void **context,
               enum MHD_ConnectionNotificationCode code)
 {
     struct front *front = data;
-    const union MHD_ConnectionInfo *info;
 
     if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
         slow_callers_remove(front->slow_callers, *context);
         return;
     }
-    info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    *context = slow_callers_add(front->slow_callers, info->connect_fd);
+    *context =
+        slow_callers_add(front->slow_callers, connection_fd(connection));
 }
 
 /* libmicrohttpd calls this with the target as received, before it splits and
@@ -504,8 +513,8 @@
     if (exchange->method == NULL) {
         exchange->method = g_strdup(method);
         exchange->path = g_strdup(url);
-        /* If the request is refused here, its body isn't read. */
-        return admit_body(exchange) ? MHD_YES : queue_response(exchange);
+        exchange->body_unread = !admit_body(exchange);
+        return exchange->body_unread ? queue_response(exchange) : MHD_YES;
     }
     if (*upload_bytes > 0) {
         result = receive_body(exchange, upload, *upload_bytes);
@@ -536,12 +545,14 @@
     struct front *front = data;
     struct exchange *exchange = *exchange_slot;
 
-    (void)connection;
     (void)code;
     if (exchange == NULL) {
         return;
     }
     *exchange_slot = NULL;
+    if (exchange->body_unread) {
+        lingering_add(front->lingering, connection_fd(connection));
+    }
     slow_caller_expect(exchange->caller, loop_now_ms(front->loop));
     front->open_exchanges--;
     if (exchange->state != EXCHANGE_READING && !exchange->refused) {
@@ -636,6 +647,7 @@
 {
     loop_timer_destroy(front->timer);
     slow_callers_destroy(front->slow_callers);
+    lingering_destroy(front->lingering);
     g_free(front);
 }
 
@@ -653,6 +665,7 @@
     front->timer = loop_timer_create(loop, on_timer, front);
     front->slow_callers =
         slow_callers_create(loop, (uint64_t)settings->idle_s * MS_PER_S);
+    front->lingering = lingering_create(loop);
     front->daemon = start_daemon(front);
     if (front->daemon == NULL) {
         goto fail;
--- a/tests/unit/test_front.c
+++ b/tests/unit/test_front.c
@@ -15,6 +15,7 @@
 enum {
     READ_BYTES = 4096,
     LARGE_BYTES = 512 * 1024,
+    LONG_BODY_BYTES = 16 * 1024 * 1024, /* more than sockets buffer */
     STATUS_OK = 200,
     DRIP_PAUSE_US = 100 * 1000,
     MAX_DRIPS = 60, /* then the caller gives up: the server has no bound */
@@ -30,6 +31,8 @@
     /* The server stops listening when the request waits in the kernel, before
        its loop has run. */
     bool stop_listening;
+    size_t body_bytes; /* sent after it */
+    bool send_failed;
     const char *drip; /* sent after it, again and again; NULL: none */
     uint32_t drips;   /* that were sent */
     bool read_late;   /* the caller reads when the exchange has ended */
@@ -73,6 +76,21 @@
     pthread_mutex_unlock(&fixture.lock);
 }
 
+/* Returns whether all of it could be sent. */
+static bool
+send_body(int fd)
+{
+    char bytes[READ_BYTES] = "";
+
+    for (size_t sent = 0; sent < fixture.body_bytes; sent += sizeof(bytes)) {
+        if (send(fd, bytes, sizeof(bytes), MSG_NOSIGNAL) !=
+            (ssize_t)sizeof(bytes)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* The caller: sends its request and reads until the connection ends. */
 static void *
 run_caller(void *data)
@@ -89,6 +107,7 @@
     g_assert_cmpint(
         send(fd, fixture.request, strlen(fixture.request), MSG_NOSIGNAL), >,
         0);
+    fixture.send_failed = !send_body(fd);
     while (fixture.drip != NULL && fixture.drips < MAX_DRIPS &&
            send(fd, fixture.drip, strlen(fixture.drip), MSG_NOSIGNAL) > 0) {
         usleep(DRIP_PAUSE_US);
@@ -313,6 +332,23 @@
     clear();
 }
 
+/* Guards against a caller who doesn't see that its body is too long: the
+   response came before the body was read, and the connection was reset. */
+static void
+test_long_body_refused(void)
+{
+    fixture.request = "POST / HTTP/1.1\r\nHost: a\r\n"
+                      "Content-Length: 16777216\r\n\r\n";
+    fixture.body_bytes = LONG_BODY_BYTES;
+    fixture.read_late = false;
+    run_request(&settings);
+    g_assert_false(fixture.send_failed);
+    g_assert_true(g_str_has_prefix(fixture.received->str, "HTTP/1.1 413"));
+    g_assert_cmpuint(fixture.requests, ==, 0);
+    fixture.body_bytes = 0;
+    clear();
+}
+
 /* A caller that sends a byte now and then is disconnected, wherever it is in
    its request, although it is never silent for long. */
 static void
@@ -363,6 +399,7 @@
     g_test_add_func("/front/complete-stream", test_complete_stream);
     g_test_add_func("/front/target-as-sent", test_target_as_sent);
     g_test_add_func("/front/chunked-body-refused", test_chunked_body_refused);
+    g_test_add_func("/front/long-body-refused", test_long_body_refused);
     g_test_add_func("/front/dripping-request", test_dripping_request);
     g_test_add_func("/front/request-before-stop", test_request_before_stop);
     return g_test_run();
