--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -57,11 +57,11 @@
     bool empty;
     uint64_t cut_after;
     bool cut_breaks;
+    bool crash_stays;
     char crash_part[NAME_BYTES]; /* with the colon; empty: none */
     char crash_path[NAME_BYTES]; /* of the request; empty: none */
     char crash_body[NAME_BYTES];
     uint64_t crash_event; /* 0: before the response */
-    bool crash_stays;
     uint64_t runs;
     uint64_t streams;          /* in progress */
     uint64_t streams_cut;      /* whose connection ended first */
--- a/tests/unit/test_http_call.c
+++ b/tests/unit/test_http_call.c
@@ -28,8 +28,8 @@
        with the connection, or left without one. 0: no limit. */
     uint32_t requests_per_connection;
     bool silent_then;
-    uint32_t connections; /* that it accepts */
     bool ends;            /* it is gone when it drops a request */
+    uint32_t connections; /* that it accepts */
 };
 
 struct server {
@@ -210,13 +210,13 @@
     static const char *const bounds[] = {in_time, in_bytes, in_time,
                                          in_time, in_bytes, in_time};
     static const struct script scripts[] = {
-        {"HTTP/1.1 200 OK\r\nX-Long: ", "x", true, 0, false, 1, false},
-        {"HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxx", false, 0, false, 1, false},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", "x", true, 0, false, false, 1},
+        {"HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxx", false, 0, false, false, 1},
         {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", "x", true, 0, false,
-         1, false},
-        {"HTTP/1.1 200 OK\r\n\r\n", "x", true, 0, false, 1, false},
-        {"", "HTTP/1.1 102 Processing\r\n\r\n", false, 0, false, 1, false},
-        {"", "\r\n", true, 0, false, 1, false},
+         false, 1},
+        {"HTTP/1.1 200 OK\r\n\r\n", "x", true, 0, false, false, 1},
+        {"", "HTTP/1.1 102 Processing\r\n\r\n", false, 0, false, false, 1},
+        {"", "\r\n", true, 0, false, false, 1},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
@@ -236,7 +236,7 @@
 test_body_too_long(void)
 {
     static const struct script script = {
-        "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx", false, 0, false, 1, false};
+        "HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxx", false, 0, false, false, 1};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -252,8 +252,8 @@
 static void
 test_kept_connection_closed(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 1,
-                                         false,    2,    false};
+    static const struct script script = {RESPONSE, NULL,  false, 1,
+                                         false,    false, 2};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -268,7 +268,7 @@
 static void
 test_not_resent(void)
 {
-    static const struct script script = {"", "", false, 0, false, 1, false};
+    static const struct script script = {"", "", false, 0, false, false, 1};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -287,7 +287,7 @@
 test_server_ends(void)
 {
     static const struct script script = {RESPONSE, NULL, false, 1,
-                                         false,    1,    true};
+                                         false,    true, 1};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -304,8 +304,8 @@
 static void
 test_timeouts_of_each_call(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 1,
-                                         true,     1,    false};
+    static const struct script script = {RESPONSE, NULL,  false, 1,
+                                         true,     false, 1};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -330,8 +330,8 @@
         false,
         0,
         false,
-        1,
-        false};
+        false,
+        1};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -350,8 +350,8 @@
 static void
 test_responses_without_id(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 0,
-                                         false,    2,    false};
+    static const struct script script = {RESPONSE, NULL,  false, 0,
+                                         false,    false, 2};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NOT_SENT;
@@ -368,8 +368,8 @@
 static void
 test_refused(void)
 {
-    static const struct script script = {RESPONSE, NULL, false, 0,
-                                         false,    0,    false};
+    static const struct script script = {RESPONSE, NULL,  false, 0,
+                                         false,    false, 0};
     struct server server;
     struct http_session *session;
     enum http_error code = HTTP_ERROR_NO_RESPONSE;
