Fake worker: a request without a body has no bytes to compare

make check failed once, traced: the undefined behaviour sanitizer ended the fake without the line by which faults_gateway_crashing_request counts its end.

--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -249,11 +249,13 @@
 crashes_on_request(const struct worker *worker,
                    const struct fake_request *request)
 {
+    size_t length = strlen(worker->crash_body);
+
     return worker->crash_path[0] != '\0' &&
            strcmp(request->path, worker->crash_path) == 0 &&
-           request->body->len == strlen(worker->crash_body) &&
-           memcmp(request->body->data, worker->crash_body,
-                  request->body->len) == 0;
+           request->body->len == length &&
+           (length == 0 ||
+            memcmp(request->body->data, worker->crash_body, length) == 0);
 }
 
 static void
