--- a/tests/each_ablation.sh
+++ b/tests/each_ablation.sh
@@ -16,3 +16,13 @@
         fi
     done <"$list"
 }
+
+# ablation_names LIST [NAME...]: prints the names of these lines, or of all.
+ablation_names() {
+    (
+        run_ablation() {
+            echo "$1"
+        }
+        each_ablation "$@"
+    )
+}
