Agent: an attempt that is said again not to have run does not run later

An agent that gets a grant without its reservation says that the attempt has not run, and keeps a record for some seconds so that a late reservation does not start it. A second grant over another link got the same answer, but the record still ended with the first one: a reservation that came 1.7 s after the second answer started what had been said not to run. The record now lasts as long after each answer.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -443,6 +443,11 @@
         g_array_set_size(work->links, 0);
     }
     work_add_link(work, link);
+    if (work->not_run) {
+        /* It is said again that the attempt has not run: that has to stay true
+           as long as after the first time. */
+        work->ended_ms = now_ms;
+    }
     update_timer(dispatch, work);
     if (response_buffer_replay(work->response, offset, replay_message,
                                &replay)) {
