--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -97,7 +97,7 @@
                                          report->crashed_ms);
 
     LOG_WARN("endpoint has crashed with requests unanswered",
-             "endpoint=%s parts=%u", report->endpoint, report->parts->len);
+             "endpoint=%s suspects=%u", report->endpoint, report->parts->len);
     quarantine_add_report(monitor->quarantine, report, UINT64_MAX,
                           loop_now_ms(monitor->loop));
     crash_report_encode(report, bytes);
@@ -228,9 +228,13 @@
                             const struct crash_suspects *suspects,
                             uint64_t sent_ms, bool answered)
 {
-    struct crash_report *report = find_or_add_check(monitor, endpoint)->report;
     uint64_t now_ms = loop_now_ms(monitor->loop);
+    struct crash_report *report;
 
+    if (monitor->settings.period_ms == 0) {
+        return;
+    }
+    report = find_or_add_check(monitor, endpoint)->report;
     crash_report_add_request(report, suspects->request,
                              to_unix_ms(monitor, sent_ms));
     for (uint32_t i = 0; !answered && suspects->parts[i] != NULL; i++) {
