--- a/core/call_metadata.h
+++ b/core/call_metadata.h
@@ -35,9 +35,9 @@
     /* Requests a second that the endpoint takes from all gateways together; 0:
        it names no limit. */
     double limit_per_s;
-    /* Address of the endpoint that failed, if another endpoint sent this
-       response; NULL: not given. Borrowed from the response head. */
-    const char *failed_address;
+    /* Id or address of the endpoint that is at fault for a refusal, this one
+       or a helper; NULL: not given. Borrowed from the response head. */
+    const char *failed_endpoint;
 };
 
 #endif
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -157,21 +157,24 @@
 }
 
 /* request: the same for requests that are alike; parts: the shared parts of
-   the prompt; answered: whether the caller has got events of it. */
+   the prompt; answered: whether the caller has got events of it; at_fault: a
+   helper that the endpoint names. */
 static void
 log_attempt(const struct forward *forward, enum attempt_result result,
             const char *why)
 {
     char *parts = g_strjoinv(",", forward->metadata.shared_parts);
 
-    LOG_INFO("attempt ended",
-             "id=%s endpoint=%s why=\"%s\" sends=%u may_have_run=%d "
-             "answered=%d request=%s parts=%s ms=%" G_GUINT64_FORMAT,
-             forward_id(forward), forward->assignment.placement.engines[0]->id,
-             why, forward->attempts, result == ATTEMPT_MAY_HAVE_RUN,
-             forward->head_sent, forward->digest,
-             parts[0] != '\0' ? parts : "-",
-             forward_now_ms(forward) - forward->started_ms);
+    LOG_INFO(
+        "attempt ended",
+        "id=%s endpoint=%s why=\"%s\" sends=%u may_have_run=%d "
+        "answered=%d at_fault=%s request=%s parts=%s "
+        "ms=%" G_GUINT64_FORMAT,
+        forward_id(forward), forward->assignment.placement.engines[0]->id, why,
+        forward->attempts, result == ATTEMPT_MAY_HAVE_RUN, forward->head_sent,
+        forward->helper_at_fault != NULL ? forward->helper_at_fault->id : "-",
+        forward->digest, parts[0] != '\0' ? parts : "-",
+        forward_now_ms(forward) - forward->started_ms);
     g_free(parts);
 }
 
@@ -194,7 +197,10 @@
     if (result != ATTEMPT_REJECTED) {
         endpoint_record_failure(endpoint, forward_now_ms(forward));
     }
-    add_tried(forward, endpoint);
+    add_tried(forward, forward->helper_at_fault != NULL
+                           ? forward->helper_at_fault
+                           : endpoint);
+    forward->helper_at_fault = NULL;
     assignment_end(&forward->assignment, forward_peers(forward));
     relay_discard_response(forward);
     if (forward_may_retry(forward)) {
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -60,6 +60,9 @@
     /* The attempt in progress. */
     struct upstream *upstream; /* NULL: none */
     uint64_t sent_ms;
+    /* Whom the endpoint that refuses the attempt names; NULL: none but itself.
+       Borrowed from the assignment. */
+    struct endpoint *helper_at_fault;
     struct assignment assignment;
     /* All attempts. */
     char *tried_ids[FORWARD_MAX_TRIED];
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -163,6 +163,31 @@
     }
 }
 
+/* name: its address or its id. */
+static bool
+is_named(const struct endpoint *endpoint, const char *name)
+{
+    char *address = g_strdup_printf("%s:%u", endpoint->ip, endpoint->port);
+    bool same = strcmp(address, name) == 0 || strcmp(endpoint->id, name) == 0;
+
+    g_free(address);
+    return same;
+}
+
+/* The helper that a refusal names, or NULL. */
+static struct endpoint *
+find_helper(const struct forward *forward, const char *name)
+{
+    const struct placement *placement = &forward->assignment.placement;
+
+    for (uint32_t i = 1; name != NULL && i < placement->count; i++) {
+        if (is_named(placement->engines[i], name)) {
+            return placement->engines[i];
+        }
+    }
+    return NULL;
+}
+
 /* An endpoint that has rejected the request is full, whatever it reports. */
 static void
 record_load(const struct forward *forward,
@@ -170,7 +195,8 @@
 {
     struct endpoint *endpoint = forward->assignment.placement.engines[0];
     uint32_t requests = metadata->has_load ? metadata->load_requests : 0;
-    bool full = metadata->not_executed && status == STATUS_UNAVAILABLE;
+    bool full = metadata->not_executed && status == STATUS_UNAVAILABLE &&
+                forward->helper_at_fault == NULL;
 
     if (full) {
         requests = MAX(requests, endpoint->slots);
@@ -238,6 +264,10 @@
                             "answer to another request");
         return;
     }
+    if (metadata.not_executed) {
+        forward->helper_at_fault =
+            find_helper(forward, metadata.failed_endpoint);
+    }
     if (!metadata.misdirected && assignment_is_current(&forward->assignment)) {
         record_load(forward, &metadata, head->status);
         record_limit(forward, &metadata, head->status);
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -14,7 +14,9 @@
    a request with that part in its Prompt-Prefix; with &stay=1 it breaks the
    connection instead; with path=PATH and body=TEXT in place of part, when it
    runs a request with that path and body, and with &event=N, after it has sent
-   N events of the stream), limit?milli=N (answers name a limit of N
+   N events of the stream), helper?address=IP:PORT
+   (refuses requests with that helper as not executed, and says that it is at
+   fault), limit?milli=N (answers name a limit of N
    thousandths of a request a second; 0: none), stats. A request may ask for
    another number of events (?events=N) or for a slower response
    (?ms=N). The worker prints each run on
@@ -58,6 +60,7 @@
     uint64_t cut_after;
     bool cut_breaks;
     bool crash_stays;
+    char bad_helper[NAME_BYTES]; /* its address; empty: none */
     char crash_part[NAME_BYTES]; /* with the colon; empty: none */
     char crash_path[NAME_BYTES]; /* of the request; empty: none */
     char crash_body[NAME_BYTES];
@@ -300,6 +303,15 @@
         response->status = STATUS_MISDIRECTED;
         return false;
     }
+    if (worker->bad_helper[0] != '\0' &&
+        strstr(header_or_dash(request, "Helpers"), worker->bad_helper) !=
+            NULL) {
+        response->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+        response->headers[0] = (struct fake_header_line){"Not-Executed", "1"};
+        response->headers[5] =
+            (struct fake_header_line){"At-Server", worker->bad_helper};
+        return false;
+    }
     if (worker->full) {
         response->status = MHD_HTTP_SERVICE_UNAVAILABLE;
         response->headers[0] = (struct fake_header_line){"Not-Executed", "1"};
@@ -442,6 +454,9 @@
     else if (strcmp(command, "memory") == 0) {
         worker->memory_tokens = fake_query_number(request, "tokens", 0);
     }
+    else if (strcmp(command, "helper") == 0) {
+        copy_query(request, "address", worker->bad_helper);
+    }
     else if (strcmp(command, "crash") == 0) {
         set_crash(worker, request);
     }
