Soak: workers say in answers that they are leaving, and registrations lapse

Two kinds of faults: a worker whose answers say that it is leaving, with its registration as it was, until another instance registers under its id; and a registration that is removed and comes back with the same start, also of such a worker. The guarantee left: a gateway that has passed on such an answer sends that instance nothing that came over 2 s later.

--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -8,6 +8,7 @@
 
 #include "tests/fakes/fake_server.h"
 #include "tests/soak/soak_disturbance.h"
+#include "tests/soak/soak_leaving.h"
 
 enum {
     STATUS_OK = 200,
@@ -254,6 +255,7 @@
     request->ended_ms = now_ms;
     request->outcome = response->outcome;
     request->status = response->status;
+    request->says_leaving = response->says_leaving;
     checker.outcomes[response->outcome]++;
     if (response->outcome == SOAK_OUTCOME_INVALID) {
         fail_request("own", request, "the response is not valid HTTP");
@@ -346,7 +348,9 @@
         }
         else {
             request->runs++;
+            request->worker = worker;
             request->last_run_ms = g_ascii_strtoull(words[1], NULL, 10);
+            soak_leaving_record_run(request, worker, request->last_run_ms);
             check_run(request, worker, words[3], words[4]);
             check_gone(request, request->last_run_ms,
                        "was forwarded after its caller had left");
@@ -395,6 +399,14 @@
     pthread_mutex_unlock(&checker.lock);
 }
 
+void
+soak_checker_worker_instance(uint32_t worker, uint64_t now_ms)
+{
+    pthread_mutex_lock(&checker.lock);
+    soak_leaving_record_instance(worker, now_ms);
+    pthread_mutex_unlock(&checker.lock);
+}
+
 /* Checks that no response was cut off without a disturbance. A gateway's
    planned end doesn't count as one. */
 static void
@@ -435,6 +447,7 @@
         served[request->kind] += request->outcome == SOAK_OUTCOME_COMPLETE &&
                                  request->status == STATUS_OK;
     }
+    soak_leaving_check(checker.requests);
     printf("requests=%u unsent=%u whole=%u cut=%u left=%u served",
            g_hash_table_size(checker.requests),
            checker.outcomes[SOAK_OUTCOME_UNSENT],
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -54,8 +54,10 @@
     uint64_t disconnect_ms; /* duration after which the caller disconnects */
     uint64_t ended_ms;      /* 0: in progress */
     enum soak_outcome outcome;
-    uint32_t status; /* as in struct soak_response */
+    uint32_t status;   /* as in struct soak_response */
+    bool says_leaving; /* the response says that its worker is leaving */
     uint32_t runs;
+    uint32_t worker;      /* of the last run */
     uint64_t last_run_ms; /* start of the last run */
 };
 
@@ -87,6 +89,7 @@
 void soak_checker_version_written(uint32_t version, uint64_t now_ms);
 void soak_checker_worker_draining(uint32_t worker, bool draining,
                                   uint64_t now_ms);
+void soak_checker_worker_instance(uint32_t worker, uint64_t now_ms);
 
 /* Checks what can be known only after all requests and runs have ended, and
    prints the counts of requests. */
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -44,6 +44,9 @@
     if (g_ascii_strcasecmp(client->header_name, "Response-Signature") == 0) {
         response->has_signature = true;
     }
+    else if (g_ascii_strcasecmp(client->header_name, "Server-Leaving") == 0) {
+        response->says_leaving = true;
+    }
     else if (g_ascii_strcasecmp(client->header_name, "Attempt-Id") == 0) {
         g_strlcpy(response->attempt_id, at,
                   MIN(length + 1, sizeof(response->attempt_id)));
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -23,6 +23,7 @@
     uint32_t status; /* 0: no response head was read */
     GString *body;
     bool has_signature;  /* has a Response-Signature header */
+    bool says_leaving;   /* has a Server-Leaving header */
     char attempt_id[64]; /* value of the Attempt-Id header */
 };
 
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -53,6 +53,8 @@
     FAULT_ADD_ROUTE,
     FAULT_REPLACE_KEY,
     FAULT_DRAIN_WORKER,
+    FAULT_WORKER_SAYS_LEAVING,
+    FAULT_REGISTRATION_LAPSES,
     FAULT_KIND_COUNT,
 };
 
@@ -127,6 +129,10 @@
     [FAULT_REPLACE_KEY] = {"change-key", 1, false, 0, NULL, NULL},
     [FAULT_DRAIN_WORKER] = {"worker-leaves", SOAK_WORKERS, false, 0, NULL,
                             NULL},
+    [FAULT_WORKER_SAYS_LEAVING] = {"worker-says-leaving", SOAK_WORKERS, false,
+                                   0, "leaving?on=1", NULL},
+    [FAULT_REGISTRATION_LAPSES] = {"registration-lapses", SOAK_WORKERS, false,
+                                   0, NULL, NULL},
 };
 
 struct soak_faults *
@@ -167,13 +173,21 @@
     return false;
 }
 
+/* Whether the worker gets no new requests meanwhile. */
+static bool
+takes_worker_away(enum fault_kind kind)
+{
+    return kind == FAULT_DRAIN_WORKER || kind == FAULT_WORKER_SAYS_LEAVING ||
+           kind == FAULT_REGISTRATION_LAPSES;
+}
+
 /* Operators' writes wait for the store. While it is suspended they would block
    the main thread, which has to resume it. */
 static bool
 needs_store(enum fault_kind kind)
 {
     return kind == FAULT_ADD_ROUTE || kind == FAULT_REPLACE_KEY ||
-           kind == FAULT_DRAIN_WORKER;
+           takes_worker_away(kind);
 }
 
 /* Whether operators make this change also in calm phases. */
@@ -189,20 +203,26 @@
 {
     return kind == FAULT_PAUSE_GATEWAY || kind == FAULT_STORE_PROXY ||
                    kind == FAULT_STORE_DOWN || kind == FAULT_STORE_REFUSES ||
-                   kind == FAULT_DRAIN_WORKER
+                   kind == FAULT_DRAIN_WORKER ||
+                   kind == FAULT_WORKER_SAYS_LEAVING
                ? MAX_OUTAGE_MS
                : MAX_FAULT_MS;
 }
 
-/* Only one worker drains at a time, so that others can serve. */
+/* Only one worker is away at a time, so that others can serve. Its
+   registration may lapse while it says that it is leaving. */
 static bool
-is_blocked(const struct soak_faults *faults, enum fault_kind kind)
+is_blocked(const struct soak_faults *faults, enum fault_kind kind,
+           uint32_t index)
 {
     if (needs_store(kind) && is_active(faults, FAULT_STORE_PAUSE, 0)) {
         return true;
     }
-    for (uint32_t i = 0; kind == FAULT_DRAIN_WORKER && i < SOAK_WORKERS; i++) {
-        if (is_active(faults, kind, i)) {
+    for (uint32_t i = 0; takes_worker_away(kind) && i < SOAK_WORKERS; i++) {
+        if (is_active(faults, FAULT_DRAIN_WORKER, i) ||
+            is_active(faults, FAULT_REGISTRATION_LAPSES, i) ||
+            (is_active(faults, FAULT_WORKER_SAYS_LEAVING, i) &&
+             (i != index || kind != FAULT_REGISTRATION_LAPSES))) {
             return true;
         }
     }
@@ -329,6 +349,9 @@
     else if (fault->kind == FAULT_REPLACE_KEY) {
         soak_operator_replace_key();
     }
+    else if (fault->kind == FAULT_REGISTRATION_LAPSES) {
+        soak_operator_set_registration(fault->index, NULL);
+    }
     else if (fault->kind == FAULT_DRAIN_WORKER) {
         /* Some workers announce that they drain; others only remove their
            registration. */
@@ -360,7 +383,11 @@
     case FAULT_TERM_GATEWAY:
         soak_process_start(fault_process(faults, fault));
         break;
+    case FAULT_WORKER_SAYS_LEAVING:
+        soak_operator_new_instance(fault->index);
+        /* fall through */
     case FAULT_DRAIN_WORKER:
+    case FAULT_REGISTRATION_LAPSES:
         soak_operator_set_registration(fault->index, "ready");
         break;
     default:
@@ -394,6 +421,12 @@
                                     is_active(faults, FAULT_STORE_PAUSE, 0))) {
         return false;
     }
+    /* The next instance must not say that it is leaving, and a suspended fake
+       would. */
+    if (fault->kind == FAULT_WORKER_SAYS_LEAVING) {
+        return !is_active(faults, FAULT_PAUSE_WORKER, fault->index) &&
+               soak_operator_control_worker(fault->index, "leaving?on=0");
+    }
     return (fault->kind != FAULT_TERM_GATEWAY &&
             fault->kind != FAULT_KILL_GATEWAY &&
             fault->kind != FAULT_KILL_WORKER) ||
@@ -429,7 +462,7 @@
 
     faults->next_ms =
         now_ms + draw_number(faults, MIN_INTERVAL_MS, MAX_INTERVAL_MS);
-    if (is_active(faults, kind, index) || is_blocked(faults, kind) ||
+    if (is_active(faults, kind, index) || is_blocked(faults, kind, index) ||
         (faults->is_calm && !is_planned(kind))) {
         return;
     }
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -16,10 +16,15 @@
     KEPT_VERSIONS = 40,
 };
 
+/* Unix time; the instances of a worker start a millisecond after each other.
+ */
+static const unsigned long FIRST_BORN_MS = 1790000000000;
+
 static struct {
     const char *ip;
     _Atomic uint32_t version;
     _Atomic uint32_t key;
+    uint64_t born_ms[SOAK_WORKERS];
 } operator;
 
 void
@@ -180,9 +185,10 @@
         text = g_strdup_printf(
             "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"here\","
             "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
-            "\"cold_remaining_ms\":0,\"sequence\":1}",
+            "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%lu}",
             worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
-            SOAK_WORKER_PROXY_PORT + worker, state);
+            SOAK_WORKER_PROXY_PORT + worker, state,
+            FIRST_BORN_MS + (unsigned long)operator.born_ms[worker]);
         put_item(key, text);
         g_free(text);
     }
@@ -191,6 +197,13 @@
     g_free(key);
 }
 
+void
+soak_operator_new_instance(uint32_t worker)
+{
+    operator.born_ms[worker]++;
+    soak_checker_worker_instance(worker, fake_clock_ms());
+}
+
 static bool
 send_command(uint16_t port, const char *command)
 {
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -28,6 +28,10 @@
    removes it if state is NULL. Blocks until the store has accepted it. */
 void soak_operator_set_registration(uint32_t worker, const char *state);
 
+/* From now on the worker's registrations show another start of its instance.
+ */
+void soak_operator_new_instance(uint32_t worker);
+
 /* Sends a command, the rest of a path under /control/ (see fake_users_store.c
    and fake_worker.c), to a fake. Returns whether it succeeded within a
    second. */
