Soak: workers refuse requests with Retry-After

The guarantee turned-away: a worker that has refused a request with Retry-After gets at most two more of that gateway from half a second later until then.

--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -20,7 +20,8 @@
    thousandths of a request a second; 0: none), stats. A request may ask for
    another number of events (?events=N) or for a slower response
    (?ms=N). The worker prints each run on
-   standard output, "ran MS ID ACCOUNT CREDENTIAL", and the end of each stream,
+   standard output, "ran MS ID ACCOUNT CREDENTIAL", each refusal while it is
+   full, "refused MS ID RETRY_S|-", and the end of each stream,
    "ended MS ID whole|cut": cut if its connection ended first. MS is the time
    of fake_clock_ms(), ID the Attempt-Id. */
 
@@ -320,6 +321,9 @@
                 (struct fake_header_line){"Retry-After", worker->retry_after};
         }
         worker->refused++;
+        print_line("refused %lu %s %s\n", (unsigned long)fake_clock_ms(),
+                   header_or_dash(request, "Attempt-Id"),
+                   worker->retry_after != NULL ? worker->retry_after : "-");
         return false;
     }
     return true;
--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -9,6 +9,7 @@
 #include "tests/fakes/fake_server.h"
 #include "tests/soak/soak_disturbance.h"
 #include "tests/soak/soak_leaving.h"
+#include "tests/soak/soak_turned_away.h"
 
 enum {
     STATUS_OK = 200,
@@ -24,6 +25,7 @@
     LOSS_SLACK_MS = 200,
     MAX_ATTEMPTS = 2, /* max_attempts of the routes in soak_operator.c */
     MAX_VERSIONS = 4096,
+    MS_PER_S = 1000,
 };
 
 static struct {
@@ -330,6 +332,21 @@
     }
 }
 
+/* retry_s: "-" if the worker has not said how long. */
+static void
+record_refusal(const struct soak_request *request, uint32_t worker,
+               const char *at_ms, const char *retry_s)
+{
+    uint64_t now_ms = g_ascii_strtoull(at_ms, NULL, 10);
+
+    soak_turned_away_record_arrival(request, worker, now_ms);
+    if (strcmp(retry_s, "-") != 0) {
+        soak_turned_away_record_refusal(request, worker, now_ms,
+                                        g_ascii_strtoull(retry_s, NULL, 10) *
+                                            MS_PER_S);
+    }
+}
+
 void
 soak_checker_worker_line(uint32_t worker, const char *line)
 {
@@ -351,11 +368,17 @@
             request->worker = worker;
             request->last_run_ms = g_ascii_strtoull(words[1], NULL, 10);
             soak_leaving_record_run(request, worker, request->last_run_ms);
+            soak_turned_away_record_arrival(request, worker,
+                                            request->last_run_ms);
             check_run(request, worker, words[3], words[4]);
             check_gone(request, request->last_run_ms,
                        "was forwarded after its caller had left");
         }
     }
+    else if (request != NULL && count == 4 &&
+             strcmp(words[0], "refused") == 0) {
+        record_refusal(request, worker, words[1], words[3]);
+    }
     else if (request != NULL && count == 4 && strcmp(words[0], "ended") == 0) {
         check_gone(request, g_ascii_strtoull(words[1], NULL, 10),
                    "was worked on after its caller had left");
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -54,6 +54,7 @@
     FAULT_REPLACE_KEY,
     FAULT_DRAIN_WORKER,
     FAULT_WORKER_SAYS_LEAVING,
+    FAULT_WORKER_TURNS_AWAY,
     FAULT_REGISTRATION_LAPSES,
     FAULT_KIND_COUNT,
 };
@@ -131,6 +132,8 @@
                             NULL},
     [FAULT_WORKER_SAYS_LEAVING] = {"worker-says-leaving", SOAK_WORKERS, false,
                                    0, "leaving?on=1", NULL},
+    [FAULT_WORKER_TURNS_AWAY] = {"worker-turns-away", SOAK_WORKERS, false, 0,
+                                 "full?on=1&retry_s=2", "full?on=0"},
     [FAULT_REGISTRATION_LAPSES] = {"registration-lapses", SOAK_WORKERS, false,
                                    0, NULL, NULL},
 };
