Soak: a request crashes the workers that run it, and comes again

For twelve seconds callers send one request, under other ids and through all gateways, that crashes the plain workers; these start again after 1.5 s. The guarantee crashing: after the third crash it reaches three more workers at the most, from gateways that were undisturbed for 4 s. Workers are reached without their proxies meanwhile, which accept connections for a worker that is gone.

--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -59,8 +59,12 @@
         [SOAK_REQUEST_SAFE] = 0.3,   [SOAK_REQUEST_AT_MOST_ONCE] = 0.2,
         [SOAK_REQUEST_SLOW] = 0.05,  [SOAK_REQUEST_STREAM] = 0.25,
         [SOAK_REQUEST_LARGE] = 0.03, [SOAK_REQUEST_NEW_ROUTE] = 0.17};
+    static const double crashing_share = 0.1;
     double draw = g_rand_double(caller->random);
 
+    if (soak_operator_crashing() != 0 && chance(caller, crashing_share)) {
+        return SOAK_REQUEST_CRASHING;
+    }
     for (int i = 0; i < SOAK_REQUEST_KIND_COUNT; i++) {
         draw -= shares[i];
         if (draw < 0.0) {
@@ -95,7 +99,8 @@
         [SOAK_REQUEST_SLOW] = SLOW_TIMEOUT_MS,
         [SOAK_REQUEST_STREAM] = STREAM_TIMEOUT_MS,
         [SOAK_REQUEST_LARGE] = LARGE_TIMEOUT_MS,
-        [SOAK_REQUEST_NEW_ROUTE] = PLAIN_TIMEOUT_MS};
+        [SOAK_REQUEST_NEW_ROUTE] = PLAIN_TIMEOUT_MS,
+        [SOAK_REQUEST_CRASHING] = PLAIN_TIMEOUT_MS};
 
     *request =
         (struct soak_request){.kind = choose_kind(caller),
@@ -105,6 +110,9 @@
                               .version = soak_operator_newest_version()};
     g_snprintf(request->id, sizeof(request->id), "c%u-%u", caller->number,
                caller->calls++);
+    if (request->kind == SOAK_REQUEST_CRASHING) {
+        request->crashing = soak_operator_crashing();
+    }
     request->timeout_ms = timeouts_ms[request->kind];
     request->disconnect_ms = request->timeout_ms + DISCONNECT_DELAY_MS;
     if (request->kind == SOAK_REQUEST_STREAM ||
@@ -131,6 +139,8 @@
                                SLOW_RESPONSE_MS);
     case SOAK_REQUEST_NEW_ROUTE:
         return g_strdup_printf("/v%u/%s", request->version, request->id);
+    case SOAK_REQUEST_CRASHING:
+        return g_strdup_printf("/plain/crashing-%u", request->crashing);
     case SOAK_REQUEST_STREAM:
     case SOAK_REQUEST_LARGE:
     case SOAK_REQUEST_KIND_COUNT:
--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "tests/fakes/fake_server.h"
+#include "tests/soak/soak_crashing.h"
 #include "tests/soak/soak_disturbance.h"
 #include "tests/soak/soak_leaving.h"
 #include "tests/soak/soak_turned_away.h"
@@ -108,11 +109,9 @@
                                     from_ms - SOAK_SETTLE_MS, to_ms);
 }
 
-/* Whether the gateway could follow the store: neither of them nor the
-   connection between them was disturbed. */
-static bool
-store_following_undisturbed(const struct soak_request *request,
-                            uint64_t from_ms, uint64_t to_ms)
+bool
+soak_checker_follows_store(const struct soak_request *request,
+                           uint64_t from_ms, uint64_t to_ms)
 {
     from_ms -= SOAK_SETTLE_MS;
     return soak_disturbance_none_at(SOAK_DISTURBANCE_GATEWAY, request->gateway,
@@ -139,6 +138,14 @@
            request->kind == SOAK_REQUEST_SLOW;
 }
 
+/* Whether it is on the route that needs an API key. */
+static bool
+has_account(const struct soak_request *request)
+{
+    return request->kind == SOAK_REQUEST_SAFE ||
+           request->kind == SOAK_REQUEST_CRASHING;
+}
+
 /* Responses. */
 
 static void
@@ -170,6 +177,9 @@
     if (request->events > 0) {
         check_events(request, response->body);
     }
+    else if (request->crashing != 0) {
+        soak_crashing_record_answer(request);
+    }
     else if (strstr(response->body->str, request->id) == NULL) {
         fail_request("own", request, "the body belongs to another request");
     }
@@ -200,7 +210,7 @@
         request->sent_ms >
             change_ms + SOAK_APPLY_MS +
                 soak_disturbance_lag_ms(change_ms, request->ended_ms) &&
-        store_following_undisturbed(request, change_ms, request->ended_ms)) {
+        soak_checker_follows_store(request, change_ms, request->ended_ms)) {
         fail_request("config", request,
                      "a configuration change is not in force in time");
     }
@@ -286,8 +296,7 @@
     uint64_t draining_ms = checker.draining_ms[worker];
 
     if (strcmp(credential, "-") != 0 ||
-        strcmp(account, request->kind == SOAK_REQUEST_SAFE ? "uspon" : "-") !=
-            0) {
+        strcmp(account, has_account(request) ? "uspon" : "-") != 0) {
         fail_request("unasked", request,
                      "the worker got another account, or the key itself");
     }
@@ -306,8 +315,8 @@
         request->last_run_ms >
             draining_ms + SOAK_DRAIN_MS +
                 soak_disturbance_lag_ms(draining_ms, request->last_run_ms) &&
-        store_following_undisturbed(request, draining_ms,
-                                    request->last_run_ms) &&
+        soak_checker_follows_store(request, draining_ms,
+                                   request->last_run_ms) &&
         soak_disturbance_none_at(SOAK_DISTURBANCE_WORKER, worker,
                                  request->last_run_ms - SOAK_SETTLE_MS,
                                  request->last_run_ms)) {
@@ -347,6 +356,17 @@
     }
 }
 
+static void
+record_crash(const char *id)
+{
+    const struct soak_request *request =
+        g_hash_table_lookup(checker.requests, id);
+
+    if (request != NULL) {
+        soak_crashing_record_crash(request, request->last_run_ms);
+    }
+}
+
 void
 soak_checker_worker_line(uint32_t worker, const char *line)
 {
@@ -355,6 +375,9 @@
     guint count = g_strv_length(words);
 
     pthread_mutex_lock(&checker.lock);
+    if (count == 2 && strcmp(words[0], "crashed") == 0) {
+        record_crash(words[1]);
+    }
     if (count >= 3) {
         request = g_hash_table_lookup(checker.requests, words[2]);
     }
@@ -370,6 +393,9 @@
             soak_leaving_record_run(request, worker, request->last_run_ms);
             soak_turned_away_record_arrival(request, worker,
                                             request->last_run_ms);
+            if (request->crashing != 0) {
+                soak_crashing_record_run(request, request->last_run_ms);
+            }
             check_run(request, worker, words[3], words[4]);
             check_gone(request, request->last_run_ms,
                        "was forwarded after its caller had left");
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -37,6 +37,7 @@
     SOAK_REQUEST_STREAM,    /* event stream that another worker may resume */
     SOAK_REQUEST_LARGE,     /* event stream that exceeds one engine's memory */
     SOAK_REQUEST_NEW_ROUTE, /* plain, on the route that a version added */
+    SOAK_REQUEST_CRASHING,  /* plain, crashes the workers that run it */
     SOAK_REQUEST_KIND_COUNT,
 };
 
@@ -48,6 +49,7 @@
     uint32_t key;           /* number of the API key sent */
     uint32_t version;       /* of the configuration, when it was sent */
     bool reused_connection; /* not the connection's first request */
+    uint32_t crashing;      /* number of a crashing request; 0: another kind */
     uint32_t events;        /* expected in the response; 0: no stream */
     uint64_t sent_ms;
     uint64_t timeout_ms;    /* duration; sent in Deadline-Ms */
@@ -91,6 +93,12 @@
                                   uint64_t now_ms);
 void soak_checker_worker_instance(uint32_t worker, uint64_t now_ms);
 
+/* Whether the gateway could follow the store: neither of them nor the
+   connection between them was disturbed. Called by checks, with the lock
+   held. */
+bool soak_checker_follows_store(const struct soak_request *request,
+                                uint64_t from_ms, uint64_t to_ms);
+
 /* Checks what can be known only after all requests and runs have ended, and
    prints the counts of requests. */
 void soak_checker_finish(void);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -29,6 +29,7 @@
        GRACE_SLACK_MS after it breaks a guarantee. */
     GRACE_MS = 8000,
     GRACE_SLACK_MS = 1000,
+    RESTART_MS = 1500, /* of a worker that has crashed */
 };
 
 enum fault_kind {
@@ -55,6 +56,7 @@
     FAULT_DRAIN_WORKER,
     FAULT_WORKER_SAYS_LEAVING,
     FAULT_WORKER_TURNS_AWAY,
+    FAULT_REQUEST_CRASHES,
     FAULT_REGISTRATION_LAPSES,
     FAULT_KIND_COUNT,
 };
@@ -69,7 +71,15 @@
     bool has_disturbance;
 };
 
+/* A worker while a request crashes it. */
+struct crashing {
+    uint32_t disturbance;
+    bool armed;       /* it knows the request */
+    uint64_t down_ms; /* when it was found to have ended; 0: it runs */
+};
+
 struct soak_faults {
+    struct crashing crashing[SOAK_PLAIN_WORKERS];
     struct soak_fleet *fleet;
     GRand *random;
     GPtrArray *active; /* struct fault */
@@ -134,6 +144,7 @@
                                    0, "leaving?on=1", NULL},
     [FAULT_WORKER_TURNS_AWAY] = {"worker-turns-away", SOAK_WORKERS, false, 0,
                                  "full?on=1&retry_s=2", "full?on=0"},
+    [FAULT_REQUEST_CRASHES] = {"request-crashes", 1, false, 0, NULL, NULL},
     [FAULT_REGISTRATION_LAPSES] = {"registration-lapses", SOAK_WORKERS, false,
                                    0, NULL, NULL},
 };
@@ -190,15 +201,15 @@
 needs_store(enum fault_kind kind)
 {
     return kind == FAULT_ADD_ROUTE || kind == FAULT_REPLACE_KEY ||
-           takes_worker_away(kind);
+           kind == FAULT_REQUEST_CRASHES || takes_worker_away(kind);
 }
 
 /* Whether operators make this change also in calm phases. */
 static bool
 is_planned(enum fault_kind kind)
 {
-    return needs_store(kind) || kind == FAULT_TERM_GATEWAY ||
-           kind == FAULT_HUP_GATEWAY;
+    return (needs_store(kind) && kind != FAULT_REQUEST_CRASHES) ||
+           kind == FAULT_TERM_GATEWAY || kind == FAULT_HUP_GATEWAY;
 }
 
 static uint64_t
@@ -221,7 +232,14 @@
     if (needs_store(kind) && is_active(faults, FAULT_STORE_PAUSE, 0)) {
         return true;
     }
-    for (uint32_t i = 0; takes_worker_away(kind) && i < SOAK_WORKERS; i++) {
+    if (takes_worker_away(kind) &&
+        is_active(faults, FAULT_REQUEST_CRASHES, 0)) {
+        return true;
+    }
+    for (uint32_t i = 0;
+         (takes_worker_away(kind) || kind == FAULT_REQUEST_CRASHES) &&
+         i < SOAK_WORKERS;
+         i++) {
         if (is_active(faults, FAULT_DRAIN_WORKER, i) ||
             is_active(faults, FAULT_REGISTRATION_LAPSES, i) ||
             (is_active(faults, FAULT_WORKER_SAYS_LEAVING, i) &&
@@ -330,6 +348,63 @@
     }
 }
 
+/* A worker that crashes disturbs requests at it, and is away for a while. */
+static void
+begin_crashing(struct soak_faults *faults)
+{
+    uint64_t now_ms = fake_clock_ms();
+
+    soak_operator_begin_crashing();
+    for (uint32_t i = 0; i < SOAK_PLAIN_WORKERS; i++) {
+        struct crashing *worker = &faults->crashing[i];
+
+        soak_process_may_crash(faults->fleet->workers[i], true);
+        worker->disturbance =
+            soak_disturbance_begin(SOAK_DISTURBANCE_WORKER, i, now_ms);
+        worker->armed = false;
+        worker->down_ms = 0;
+    }
+}
+
+static void
+end_crashing(struct soak_faults *faults, uint64_t now_ms)
+{
+    for (uint32_t i = 0; i < SOAK_PLAIN_WORKERS; i++) {
+        soak_process_start(faults->fleet->workers[i]);
+        soak_disturbance_end(faults->crashing[i].disturbance, now_ms);
+    }
+    soak_operator_end_crashing();
+}
+
+/* Starts a worker again some time after it has crashed, also on a request that
+   came late, and has it crash on the same request. */
+static void
+tend_crashing_worker(struct soak_faults *faults, uint32_t index,
+                     uint64_t now_ms)
+{
+    struct crashing *worker = &faults->crashing[index];
+    struct soak_process *process = faults->fleet->workers[index];
+
+    if (is_active(faults, FAULT_KILL_WORKER, index) ||
+        is_active(faults, FAULT_PAUSE_WORKER, index)) {
+        worker->armed = false;
+        return;
+    }
+    if (soak_process_is_running(process)) {
+        worker->down_ms = 0;
+        worker->armed = worker->armed || soak_operator_crashing() == 0 ||
+                        soak_operator_arm_worker(index);
+        return;
+    }
+    worker->armed = false;
+    if (worker->down_ms == 0) {
+        worker->down_ms = now_ms;
+    }
+    else if (now_ms >= worker->down_ms + RESTART_MS) {
+        soak_process_start(process);
+    }
+}
+
 static void
 begin_fault(struct soak_faults *faults, struct fault *fault)
 {
@@ -352,6 +427,9 @@
     else if (fault->kind == FAULT_REPLACE_KEY) {
         soak_operator_replace_key();
     }
+    else if (fault->kind == FAULT_REQUEST_CRASHES) {
+        begin_crashing(faults);
+    }
     else if (fault->kind == FAULT_REGISTRATION_LAPSES) {
         soak_operator_set_registration(fault->index, NULL);
     }
@@ -386,6 +464,9 @@
     case FAULT_TERM_GATEWAY:
         soak_process_start(fault_process(faults, fault));
         break;
+    case FAULT_REQUEST_CRASHES:
+        end_crashing(faults, now_ms);
+        break;
     case FAULT_WORKER_SAYS_LEAVING:
         soak_operator_new_instance(fault->index);
         /* fall through */
@@ -475,6 +556,9 @@
     fault->begun_ms = now_ms;
     fault->ends_ms = now_ms + draw_number(faults, MIN_FAULT_MS,
                                           (uint32_t)max_duration_ms(kind));
+    if (kind == FAULT_REQUEST_CRASHES) {
+        fault->ends_ms = now_ms + MAX_OUTAGE_MS;
+    }
     begin_fault(faults, fault);
     g_ptr_array_add(faults->active, fault);
 }
@@ -482,6 +566,9 @@
 void
 soak_faults_end_due(struct soak_faults *faults, uint64_t now_ms)
 {
+    for (uint32_t i = 0; i < SOAK_PLAIN_WORKERS; i++) {
+        tend_crashing_worker(faults, i, now_ms);
+    }
     for (guint i = faults->active->len; i > 0; i--) {
         struct fault *fault = g_ptr_array_index(faults->active, i - 1);
 
@@ -508,13 +595,17 @@
     }
 }
 
+/* A request that crashes workers goes on in a calm phase, where nothing keeps
+   the gateways from knowing it. */
 static void
-end_all(struct soak_faults *faults, uint64_t now_ms)
+end_all(struct soak_faults *faults, bool calm, uint64_t now_ms)
 {
     for (guint i = 0; i < faults->active->len; i++) {
         struct fault *fault = g_ptr_array_index(faults->active, i);
 
-        fault->ends_ms = now_ms;
+        if (!calm || fault->kind != FAULT_REQUEST_CRASHES) {
+            fault->ends_ms = now_ms;
+        }
     }
     soak_faults_end_due(faults, now_ms);
     clear_fakes();
@@ -529,7 +620,7 @@
                       ? CALM_MS
                       : draw_number(faults, MIN_STORM_MS, MAX_STORM_MS));
     if (faults->is_calm) {
-        end_all(faults, now_ms);
+        end_all(faults, true, now_ms);
     }
     printf("# %lu %s\n", (unsigned long)now_ms,
            faults->is_calm ? "calm" : "storm");
@@ -550,5 +641,5 @@
 void
 soak_faults_end_all(struct soak_faults *faults, uint64_t now_ms)
 {
-    end_all(faults, now_ms);
+    end_all(faults, false, now_ms);
 }
--- a/tests/soak/soak_faults.h
+++ b/tests/soak/soak_faults.h
@@ -20,7 +20,8 @@
 void soak_faults_tick(struct soak_faults *faults, uint64_t now_ms);
 
 /* Ends the faults that are due: undoes them, and starts the processes that
-   they have ended. A fault that waits for a process to exit remains active. */
+   they have ended or that have crashed. A fault that waits for a process to
+   exit remains active. */
 void soak_faults_end_due(struct soak_faults *faults, uint64_t now_ms);
 
 /* Makes all faults due, ends those that can end, and clears the faults of the
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -26,6 +26,7 @@
     char *log_path;
     pid_t pid; /* 0: not running */
     bool end_expected;
+    bool may_crash; /* and then exits with status 1 */
     _Atomic uint32_t incarnation;
     long read_offset;  /* the log was read up to here */
     long start_offset; /* the current incarnation logs from here */
@@ -99,6 +100,12 @@
     kill(process->pid, signal_number);
 }
 
+void
+soak_process_may_crash(struct soak_process *process, bool may_crash)
+{
+    process->may_crash = may_crash;
+}
+
 bool
 soak_process_is_running(const struct soak_process *process)
 {
@@ -138,6 +145,10 @@
         return;
     }
     process->pid = 0;
+    if (process->may_crash && WIFEXITED(status) &&
+        WEXITSTATUS(status) == EXIT_FAILURE) {
+        return;
+    }
     if (!process->end_expected) {
         soak_checker_fail(
             "alive", "%s ended without being told to, %s %d", process->name,
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -55,6 +55,8 @@
 /* Sends a signal, if the process is running. After SIGTERM and SIGKILL it is
    expected to exit. */
 void soak_process_signal(struct soak_process *process, int signal_number);
+/* From now on an exit with status 1 is no broken guarantee. */
+void soak_process_may_crash(struct soak_process *process, bool may_crash);
 bool soak_process_is_running(const struct soak_process *process);
 /* Whether a gateway has logged that it has started. A signal that arrives
    before the process has blocked signals would end it. */
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -25,6 +25,8 @@
     _Atomic uint32_t version;
     _Atomic uint32_t key;
     uint64_t born_ms[SOAK_WORKERS];
+    _Atomic uint32_t crashing; /* number of the crashing request; 0: none */
+    uint32_t last_crashing;
 } operator;
 
 void
@@ -168,6 +170,53 @@
     operator.version = version;
 }
 
+static uint32_t
+worker_port(uint32_t worker)
+{
+    return worker + (operator.crashing != 0 && worker<SOAK_PLAIN_WORKERS
+                         ? SOAK_WORKER_PORT
+                         : SOAK_WORKER_PROXY_PORT);
+}
+
+static void
+register_plain_workers(void)
+{
+    for (uint32_t i = 0; i < SOAK_PLAIN_WORKERS; i++) {
+        soak_operator_set_registration(i, "ready");
+    }
+}
+
+void
+soak_operator_begin_crashing(void)
+{
+    operator.crashing = ++ operator.last_crashing;
+    register_plain_workers();
+}
+
+void
+soak_operator_end_crashing(void)
+{
+    operator.crashing = 0;
+    register_plain_workers();
+}
+
+uint32_t
+soak_operator_crashing(void)
+{
+    return operator.crashing;
+}
+
+bool
+soak_operator_arm_worker(uint32_t worker)
+{
+    char *command = g_strdup_printf(
+        "crash?path=/plain/crashing-%u&body=body", operator.crashing);
+    bool ok = soak_operator_control_worker(worker, command);
+
+    g_free(command);
+    return ok;
+}
+
 void
 soak_operator_set_registration(uint32_t worker, const char *state)
 {
@@ -187,7 +236,7 @@
             "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
             "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%lu}",
             worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
-            SOAK_WORKER_PROXY_PORT + worker, state,
+            worker_port(worker), state,
             FIRST_BORN_MS + (unsigned long)operator.born_ms[worker]);
         put_item(key, text);
         g_free(text);
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -28,6 +28,17 @@
    removes it if state is NULL. Blocks until the store has accepted it. */
 void soak_operator_set_registration(uint32_t worker, const char *state);
 
+/* Lets callers send a request that crashes the plain workers, another one each
+   time, until soak_operator_end_crashing(). Meanwhile these are registered
+   without their proxies, which would accept connections for a worker that has
+   crashed. */
+void soak_operator_begin_crashing(void);
+void soak_operator_end_crashing(void);
+/* Number of that request; 0: none. Any thread. */
+uint32_t soak_operator_crashing(void);
+/* Has the worker crash on it. Returns whether it got the command. */
+bool soak_operator_arm_worker(uint32_t worker);
+
 /* From now on the worker's registrations show another start of its instance.
  */
 void soak_operator_new_instance(uint32_t worker);
