--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -18,7 +18,7 @@
 
 /* Unix time; the instances of a worker start a millisecond after each other.
  */
-static const unsigned long FIRST_BORN_MS = 1790000000000;
+static const unsigned long first_born_ms = 1790000000000;
 
 static struct {
     const char *ip;
@@ -237,7 +237,7 @@
             "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":%lu}",
             worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
             worker_port(worker), state,
-            FIRST_BORN_MS + (unsigned long)operator.born_ms[worker]);
+            first_born_ms + (unsigned long)operator.born_ms[worker]);
         put_item(key, text);
         g_free(text);
     }
