Store writer: its queue is guarded by the system's lock

make check failed once, traced: since soak_short has workers that crash, the gateways write crash reports under the thread sanitizer, which does not see GLib's locks and took the hand-over of an item to the writer's thread for a race (exit 66 of all five gateways). The queue was guarded, by GLib. It is now guarded as the pool of workers is, so that the sanitizer can check it. The process tests had not shown it: they kill the gateways. soak_short and the tests of crashes pass under the thread sanitizer.

--- a/io/store_writer.c
+++ b/io/store_writer.c
@@ -29,7 +29,11 @@
 
 struct store_writer {
     struct store_writer_settings settings;
-    GAsyncQueue *queue; /* struct pending_item */
+    /* Locks of the system, which the thread sanitizer can follow into GLib's
+       lists, unlike GLib's own. */
+    pthread_mutex_t lock;
+    pthread_cond_t changed;
+    GQueue queue; /* struct pending_item; guarded by lock */
     /* Used by the thread alone. */
     struct store *store;
     uint64_t lease; /* 0: none */
@@ -93,6 +97,20 @@
     }
 }
 
+static struct pending_item *
+wait_for_item(struct store_writer *writer)
+{
+    struct pending_item *item;
+
+    pthread_mutex_lock(&writer->lock);
+    while (g_queue_is_empty(&writer->queue)) {
+        pthread_cond_wait(&writer->changed, &writer->lock);
+    }
+    item = g_queue_pop_head(&writer->queue);
+    pthread_mutex_unlock(&writer->lock);
+    return item;
+}
+
 static void *
 run_writer(void *data)
 {
@@ -102,7 +120,7 @@
     store_set_timeouts(writer->store, CONNECT_TIMEOUT_S,
                        READ_TIMEOUT_MARGIN_S);
     for (;;) {
-        struct pending_item *item = g_async_queue_pop(writer->queue);
+        struct pending_item *item = wait_for_item(writer);
 
         write_until_expired(writer, item);
         free_item(item);
@@ -118,7 +136,9 @@
 
     writer->settings = *settings;
     writer->settings.ip = g_strdup(settings->ip);
-    writer->queue = g_async_queue_new();
+    pthread_mutex_init(&writer->lock, NULL);
+    pthread_cond_init(&writer->changed, NULL);
+    g_queue_init(&writer->queue);
     if (pthread_create(&thread, NULL, run_writer, writer) != 0) {
         g_error("can't start a thread for the store");
     }
@@ -130,16 +150,22 @@
 store_writer_put(struct store_writer *writer, const char *key,
                  const void *bytes, size_t count)
 {
-    struct pending_item *item;
+    struct pending_item *item = g_new0(struct pending_item, 1);
+    bool full;
 
-    if (g_async_queue_length(writer->queue) >= MAX_QUEUED) {
-        LOG_WARN("too many items wait for the store, one is dropped", "key=%s",
-                 key);
-        return;
-    }
-    item = g_new0(struct pending_item, 1);
     item->key = g_strdup(key);
     item->bytes = g_bytes_new(bytes, count);
     item->queued_ms = loop_clock_ms();
-    g_async_queue_push(writer->queue, item);
+    pthread_mutex_lock(&writer->lock);
+    full = g_queue_get_length(&writer->queue) >= MAX_QUEUED;
+    if (!full) {
+        g_queue_push_tail(&writer->queue, item);
+        pthread_cond_signal(&writer->changed);
+    }
+    pthread_mutex_unlock(&writer->lock);
+    if (full) {
+        LOG_WARN("too many items wait for the store, one is dropped", "key=%s",
+                 key);
+        free_item(item);
+    }
 }
