--- a/tests/faults/gateway_endpoint_leaving.sh
+++ b/tests/faults/gateway_endpoint_leaving.sh
@@ -3,15 +3,6 @@
 . "$(dirname "$0")/lib/gateways.sh"
 start_deployment
 
-# send_many COUNT
-send_many() {
-    local n
-    for n in $(seq 1 "$1"); do
-        expect "request $n" \
-            "$(call "$GATEWAY" /plain/x -H 'Credential: key-1')" 200
-    done
-}
-
 worker_control 1 'leaving?on=1'
 before=$(worker_stat 1 runs)
 send_many 40
--- a/tests/faults/gateway_endpoint_returns.sh
+++ b/tests/faults/gateway_endpoint_returns.sh
@@ -11,15 +11,6 @@
         "$WORK/gateway-1.log")" -ge "$2" ]
 }
 
-# send_many COUNT
-send_many() {
-    local n
-    for n in $(seq 1 "$1"); do
-        expect "request $n" \
-            "$(call "$GATEWAY" /plain/x -H 'Credential: key-1')" 200
-    done
-}
-
 register 1 ready "$BORN"
 wait_until changed_times ready 2
 worker_control 1 'leaving?on=1'
--- a/tests/faults/lib/gateways.sh
+++ b/tests/faults/lib/gateways.sh
@@ -131,6 +131,15 @@
         -H 'Deadline-Ms: 30000' "${@:3}" "$1$2"
 }
 
+# send_many COUNT: sends plain requests to the first gateway, which serves each.
+send_many() {
+    local n
+    for n in $(seq 1 "$1"); do
+        expect "request $n" \
+            "$(call "$GATEWAY" /plain/x -H 'Credential: key-1')" 200
+    done
+}
+
 # gateway_metric NUMBER NAME
 gateway_metric() {
     fetch "http://$IP:752$1/metrics" |
