Tests: a prompt's own time limit does not free the memory that its lease should

Traced: without leases the memory was freed when the request's 20 s were over; the 250 tries that an ablation waits take 5 s on an idle machine and over 20 s on a busy one.

--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -66,12 +66,6 @@
 fi
 
 names=$(ablation_names tests/ablations.txt "$@")
-# Lines that KNOWN-RED.txt lists are printed and not run, unless they are named.
-known_red=$(sed -n 's/^ablation: *//p' KNOWN-RED.txt)
-if [ $# -eq 0 ] && [ -n "$known_red" ]; then
-    echo "Listed in KNOWN-RED.txt, not run:" $known_red
-    names=$(echo "$names" | grep -vxF "$known_red")
-fi
 [ -n "$names" ] || { echo "no such line in tests/ablations.txt: $*" >&2; exit 1; }
 COPIES=$(mktemp -d)
 export COPIES
--- a/tests/faults/group.sh
+++ b/tests/faults/group.sh
@@ -16,12 +16,14 @@
         "lease = 300ms"
 done
 publish_instances
+# The time limit is longer than the test waits: memory that is free by then was
+# freed by its lease, and not by the end of the request's time.
 cat >"$WORK/routes.ini" <<'END'
 [savjetnik]
 paths = /v1/completions
 pool = savjetnik
 class = prompt
-time_limit = 20s
+time_limit = 10min
 END
 cat >"$WORK/pools.ini" <<'END'
 [savjetnik]
