--- a/tests/faults/gateway_crashing_request.sh
+++ b/tests/faults/gateway_crashing_request.sh
@@ -5,9 +5,15 @@
 CRASH='path=/plain/x&body=bad'
 . "$(dirname "$0")/lib/crashing.sh"
 SLOTS="1 2 3 4 5"
+ACCOUNTS=',{"name":"other","api_keys":["key-2"]}'
 start_crashing_deployment
 
 expect_few_crashes /plain/x bad /plain/x sound
+crash_on /none ""
+expect "the request of another account" "$(call "$GATEWAY" /plain/x -d bad \
+    -H 'Credential: key-2')" 200
+expect "the request, to workers that run it by now" \
+    "$(repeat "$GATEWAY" /plain/x bad)" 503
 expect "the body on another path" "$(repeat "$GATEWAY" /plain/y bad)" 200
 expect "the path without a body" "$(repeat "$GATEWAY" /plain/x "")" 200
 
--- a/tests/faults/lib/gateways.sh
+++ b/tests/faults/lib/gateways.sh
@@ -49,7 +49,7 @@
 # configure [ROUTES]: writes a newer version of the configuration to the
 # store; versions need not be consecutive. ROUTES are further routes in JSON,
 # each followed by a comma. The variable KEYS may replace the account's keys,
-# in JSON.
+# and ACCOUNTS add others, each after a comma, in JSON.
 configure() {
     VERSION=$((VERSION + 3))
     store_control "put?key=op/config" -d "{\"version\":$VERSION,\"routes\":[$1
@@ -78,7 +78,8 @@
         \"read_per_s\":150000.0,\"pairs_per_m\":0.16,\"chunk\":2048}}],
       \"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,
        \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
-      \"tenants\":[{\"name\":\"uspon\",\"api_keys\":[${KEYS:-\"key-1\"}]}]}"
+      \"tenants\":[{\"name\":\"uspon\",\"api_keys\":[${KEYS:-\"key-1\"}]}
+       ${ACCOUNTS:-}]}"
 }
 
 # write_gateway_settings NUMBER [BOUNDS]
