--- a/review/standins/fleet.c
+++ b/review/standins/fleet.c
@@ -316,9 +316,12 @@
 
     snprintf(key, sizeof(key), "servers/worker-%d", index + 1);
     snprintf(value, sizeof(value),
-             "{\"service\":\"raspored\",\"address\":\"" IP ":%u\",\"zone\":"
+             "{\"service\":\"%s\",\"address\":\"" IP ":%u\",\"zone\":"
              "\"split-a\",\"version\":1,\"slots\":16,\"state\":\"ready\","
              "\"cold_remaining_ms\":0,\"sequence\":%u,\"born\":%d}",
+             fleet.worker_services[index] != NULL
+                 ? fleet.worker_services[index]
+                 : "raspored",
              fleet.worker_ports[index], sequence, 1000000 + index);
     put(key, value);
 }
@@ -436,49 +439,61 @@
     record("all gateways are ready");
 }
 
-/* Counts the lines of the workers' output that begin with the word and have
-   the id; last: the word that ends the line, or NULL. */
+/* Counts the lines of a worker's output that begin with the word and have the
+   id; last: the word that ends the line, or NULL. */
 static int
-count_lines(const char *word, const char *id, const char *last)
+count_lines(int worker, const char *word, const char *id, const char *last)
 {
+    char path[128];
+    char line[512];
     int found = 0;
+    FILE *file;
 
-    for (int i = 0; i < fleet.workers; i++) {
-        char path[128];
-        char line[512];
-        FILE *file;
-
-        snprintf(path, sizeof(path), "%s/worker-%d.log", fleet.folder, i);
-        file = fopen(path, "r");
-        while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-            char first[32];
-            char line_id[64];
-            char rest[64];
-
-            if (sscanf(line, "%31s %*s %63s %63s", first, line_id, rest) ==
-                    3 &&
-                strcmp(first, word) == 0 && strcmp(line_id, id) == 0 &&
-                (last == NULL || strcmp(rest, last) == 0)) {
-                found++;
-            }
-        }
-        if (file != NULL) {
-            fclose(file);
+    snprintf(path, sizeof(path), "%s/worker-%d.log", fleet.folder, worker);
+    file = fopen(path, "r");
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        char first[32];
+        char line_id[64];
+        char rest[64];
+
+        if (sscanf(line, "%31s %*s %63s %63s", first, line_id, rest) == 3 &&
+            strcmp(first, word) == 0 && strcmp(line_id, id) == 0 &&
+            (last == NULL || strcmp(rest, last) == 0)) {
+            found++;
         }
     }
+    if (file != NULL) {
+        fclose(file);
+    }
     return found;
 }
 
+int
+worker_runs(int worker, const char *attempt_id)
+{
+    return count_lines(worker, "ran", attempt_id, NULL);
+}
+
 int
 count_runs(const char *attempt_id)
 {
-    return count_lines("ran", attempt_id, NULL);
+    int runs = 0;
+
+    for (int i = 0; i < fleet.workers; i++) {
+        runs += worker_runs(i, attempt_id);
+    }
+    return runs;
 }
 
 bool
 stream_was_whole(const char *attempt_id)
 {
-    return count_lines("ended", attempt_id, "whole") > 0;
+    for (int i = 0; i < fleet.workers; i++) {
+        if (count_lines(i, "ended", attempt_id, "whole") > 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
--- a/review/standins/fleet.h
+++ b/review/standins/fleet.h
@@ -24,6 +24,8 @@
     int workers;
     uint16_t store_port;
     uint16_t worker_ports[FLEET_MAX_WORKERS];
+    /* Set before fleet_start(); NULL: raspored. */
+    const char *worker_services[FLEET_MAX_WORKERS];
     uint16_t gateway_ports[FLEET_MAX_GATEWAYS];
     uint16_t status_ports[FLEET_MAX_GATEWAYS];
     pid_t gateway_pids[FLEET_MAX_GATEWAYS];
@@ -71,6 +73,7 @@
 /* How many times the workers say that they have run the request, and whether
    one sent its whole stream. */
 int count_runs(const char *attempt_id);
+int worker_runs(int worker, const char *attempt_id);
 bool stream_was_whole(const char *attempt_id);
 
 /* Appends what the workers ran to the record. */
