--- a/review/build.sh
+++ b/review/build.sh
@@ -9,10 +9,10 @@
 cflags=$(pkg-config --cflags $packages)
 libs="$(pkg-config --libs $packages) -lpthread"
 for name in store; do
-    cc $flags $cflags -o target/review/$name review/standins/$name.c \
+    gcc $flags $cflags -o target/review/$name review/standins/$name.c \
         tests/fakes/fake_server.c $libs
 done
-cc $flags $cflags -o target/review/fake_worker tests/fakes/fake_worker.c \
+gcc $flags $cflags -o target/review/fake_worker tests/fakes/fake_worker.c \
     tests/fakes/fake_server.c $libs
 for folder in review/[1-5]; do
     if [ -f "$folder/case.c" ]; then
