--- a/review/standins/fleet.c
+++ b/review/standins/fleet.c
@@ -22,12 +22,17 @@
     BEAT_MS = 1200,
     READY_MS = 10000,
     MAX_RUN_S = 115,
+    FIRST_PORT = 10000,
+    PORTS = 20000,
+    MAX_PORTS = 64,
 };
 
 struct fleet fleet;
 
 static pid_t processes[MAX_PROCESSES];
 static int process_count;
+static int reserved_fds[MAX_PORTS];
+static int reserved_count;
 static FILE *record_file;
 static uint64_t start_ms;
 static char repository[256];
@@ -131,30 +136,37 @@
     _exit(FLEET_CANNOT_RUN);
 }
 
+/* A free port below those that the system gives to outgoing connections, which
+   could take it before its process listens. It stays bound until
+   release_ports(), so that the ports of one case differ. */
 static uint16_t
 free_port(void)
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
 
     inet_pton(AF_INET, IP, &address.sin_addr);
-    bind(fd, (struct sockaddr *)&address, sizeof(address));
-    getsockname(fd, (struct sockaddr *)&address, &length);
-    /* Ports of later calls differ, since this one stays open until the case
-       has all of its ports. */
-    if (dup2(fd, 200 + ntohs(address.sin_port) % 800) < 0) {
-        perror("dup2");
+    for (;;) {
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        uint16_t port = (uint16_t)(FIRST_PORT + random() % PORTS);
+
+        address.sin_port = htons(port);
+        if (reserved_count < MAX_PORTS &&
+            bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0) {
+            reserved_fds[reserved_count++] = fd;
+            return port;
+        }
+        close(fd);
+        if (reserved_count == MAX_PORTS) {
+            finish(FLEET_CANNOT_RUN);
+        }
     }
-    close(fd);
-    return ntohs(address.sin_port);
 }
 
 static void
 release_ports(void)
 {
-    for (int fd = 200; fd < 1000; fd++) {
-        close(fd);
+    while (reserved_count > 0) {
+        close(reserved_fds[--reserved_count]);
     }
 }
 
@@ -390,6 +402,7 @@
     pthread_t thread;
 
     start_ms = clock_ms();
+    srandom((unsigned)getpid() * 2654435761u + (unsigned)time(NULL));
     if (argc != 4 || (record_file = fopen(argv[3], "w")) == NULL) {
         fprintf(stderr, "usage: %s REPOSITORY STANDINS RECORD\n", argv[0]);
         exit(FLEET_CANNOT_RUN);
--- a/review/standins/store.c
+++ b/review/standins/store.c
@@ -25,6 +25,10 @@
     WAIT_STEP_MS = 50,
     NS_PER_MS = 1000000,
     MS_PER_S = 1000,
+    /* Of all gateways together, as on the sheet. */
+    READS_PER_S = 2000,
+    WRITES_PER_S = 400,
+    TOO_MANY_REQUESTS = 429,
 };
 
 struct item {
@@ -52,6 +56,10 @@
     uint64_t era;
     uint64_t next_lease;
     bool away;
+    uint64_t second; /* in which these calls were counted */
+    uint64_t reads;
+    uint64_t writes;
+    uint64_t refused; /* in all */
 } store = {.lock = PTHREAD_MUTEX_INITIALIZER,
            .changed = PTHREAD_COND_INITIALIZER,
            .revision = 1,
@@ -471,6 +479,26 @@
     }
 }
 
+/* Counts a call of the gateways. Returns whether it is within the limits. */
+static bool
+take_call(bool is_write)
+{
+    uint64_t second = fake_clock_ms() / MS_PER_S;
+    uint64_t *count = is_write ? &store.writes : &store.reads;
+
+    if (second != store.second) {
+        store.second = second;
+        store.reads = 0;
+        store.writes = 0;
+    }
+    if (*count >= (is_write ? WRITES_PER_S : READS_PER_S)) {
+        store.refused++;
+        return false;
+    }
+    ++*count;
+    return true;
+}
+
 static void
 handle(void *data, const struct fake_request *request,
        struct fake_response *response)
@@ -487,6 +515,9 @@
     else if (store.away) {
         response->drop = true;
     }
+    else if (!take_call(strcmp(path, "/dandelionfork/kv-txn") == 0)) {
+        response->status = TOO_MANY_REQUESTS;
+    }
     else if (strcmp(path, "/dandelionfork/kv-range") == 0) {
         range(request, response);
     }
