Gateway: logs tell what has confirmed a copy that refuses a request

The logs could not tell the hypotheses apart: a refusal had the age of the copy, but neither its revision nor who has confirmed it, and nothing compared the revision of a watch with its changes.

- 'request is not admitted': version, ages of configuration and copy, the copy's revision, and what has confirmed it last (the store or a gateway).
- 'a watch lacks changes up to its revision', counted in watch_gaps_total; store_revision as a metric.

No decision is changed.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -53,6 +53,7 @@
     bool config_failed; /* its patches; the copy lacks the newest one */
     uint64_t revision;
     uint64_t confirmed_ms;        /* 0: never */
+    char *source;                 /* of the last confirmation; NULL: none */
     uint64_t config_confirmed_ms; /* of the configuration in force */
     uint64_t now_ms;              /* of the call in progress */
     bool store_reachable;
@@ -155,6 +156,7 @@
         return;
     }
     g_hash_table_destroy(directory->items);
+    g_free(directory->source);
     catalog_unref(directory->catalog);
     config_copy_destroy(directory->config);
     g_free(directory);
@@ -272,7 +274,7 @@
    confirmed the copy meanwhile. */
 static void
 set_confirmed(struct directory *directory, uint64_t confirmed_ms,
-              uint64_t now_ms)
+              const char *source, uint64_t now_ms)
 {
     if (confirmed_ms <= directory->confirmed_ms) {
         return;
@@ -285,6 +287,10 @@
                  confirmed_ms - directory->confirmed_ms, RECOVERY_GRACE_MS);
     }
     directory->confirmed_ms = confirmed_ms;
+    if (g_strcmp0(directory->source, source) != 0) {
+        g_free(directory->source);
+        directory->source = g_strdup(source);
+    }
 }
 
 static void
@@ -442,13 +448,14 @@
 
 void
 directory_apply(struct directory *directory, const struct store_items *items,
-                bool full, uint64_t confirmed_ms, uint64_t now_ms)
+                bool full, uint64_t confirmed_ms, const char *source,
+                uint64_t now_ms)
 {
     if (items->revision < directory->revision) {
         return;
     }
     directory->now_ms = now_ms;
-    set_confirmed(directory, confirmed_ms, now_ms);
+    set_confirmed(directory, confirmed_ms, source, now_ms);
     for (guint i = 0; i < items->list->len; i++) {
         apply_item(directory, g_ptr_array_index(items->list, i), now_ms);
     }
@@ -463,13 +470,13 @@
 
 bool
 directory_confirm(struct directory *directory, uint64_t revision,
-                  uint64_t confirmed_ms, uint64_t now_ms)
+                  uint64_t confirmed_ms, const char *source, uint64_t now_ms)
 {
     if (directory->revision < revision || directory->revision == 0 ||
         directory->config_failed) {
         return false;
     }
-    set_confirmed(directory, confirmed_ms, now_ms);
+    set_confirmed(directory, confirmed_ms, source, now_ms);
     update_config_age(directory);
     return true;
 }
@@ -564,6 +571,12 @@
     return age_of(directory->config_confirmed_ms, now_ms);
 }
 
+const char *
+directory_source(const struct directory *directory)
+{
+    return directory->source != NULL ? directory->source : "-";
+}
+
 uint64_t
 directory_ask_revision(const struct directory *directory)
 {
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -46,18 +46,22 @@
 
 /* Applies items read from the store, directly or through another gateway.
    full: the items are the store's whole content; otherwise they are changes.
-   They were the store's newest state at confirmed_ms or later. Nothing
+   They were the store's newest state at confirmed_ms or later; source, "store"
+   or a gateway's address, says who has confirmed that, and is copied. Nothing
    happens if their revision is below the directory's. A configuration among
    them is in force once it is decoded; see gateway/config_copy.h. */
 void directory_apply(struct directory *directory,
                      const struct store_items *items, bool full,
-                     uint64_t confirmed_ms, uint64_t now_ms);
+                     uint64_t confirmed_ms, const char *source,
+                     uint64_t now_ms);
 
-/* Records that another gateway has confirmed the given revision as the store's
-   newest at confirmed_ms or later. Returns false, and changes nothing, if this
-   directory is at an older revision, has none, or lacks the configuration. */
+/* Records that another gateway, source, has confirmed the given revision as
+   the store's newest at confirmed_ms or later. Returns false, and changes
+   nothing, if this directory is at an older revision, has none, or lacks the
+   configuration. */
 bool directory_confirm(struct directory *directory, uint64_t revision,
-                       uint64_t confirmed_ms, uint64_t now_ms);
+                       uint64_t confirmed_ms, const char *source,
+                       uint64_t now_ms);
 
 /* Records whether the store answers this gateway. */
 void directory_set_store_reachable(struct directory *directory,
@@ -90,6 +94,9 @@
 uint64_t directory_config_age_ms(const struct directory *directory,
                                  uint64_t now_ms);
 
+/* Who has confirmed the copy last: "store", a gateway's address, or "-". */
+const char *directory_source(const struct directory *directory);
+
 /* The store's revision that the copy stands for; 0: nothing was read yet. */
 uint64_t directory_revision(const struct directory *directory);
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -426,6 +426,32 @@
     send_attempt(forward);
 }
 
+/* A refusal for want of a route or a key depends on how recent the copy of the
+   store is. */
+static void
+log_refusal(const struct forward *forward, uint32_t status, const char *why)
+{
+    const struct directory *directory = forward->forwarder->deps.directory;
+    uint64_t now_ms = loop_clock_ms();
+
+    LOG_INFO("request is not admitted",
+             "id=%s status=%u why=\"%s\" version=%" G_GUINT64_FORMAT
+             " config_age_ms=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+             " age_ms=%" G_GUINT64_FORMAT " confirmed_by=%s",
+             forward_id(forward), status, why,
+             forward->catalog != NULL ? catalog_version(forward->catalog) : 0,
+             directory_config_age_ms(directory, now_ms),
+             directory_revision(directory),
+             directory_age_ms(directory, now_ms), directory_source(directory));
+}
+
+static void
+refuse_admission(struct forward *forward, uint32_t status, const char *why)
+{
+    log_refusal(forward, status, why);
+    relay_local_reply(forward, status, why);
+}
+
 /* Returns false if the request was refused, and answered. */
 static bool
 admit(struct forward *forward)
@@ -441,13 +467,13 @@
     case ADMISSION_ACCEPTED:
         return true;
     case ADMISSION_NO_ROUTE:
-        relay_local_reply(forward, STATUS_NOT_FOUND, why);
+        refuse_admission(forward, STATUS_NOT_FOUND, why);
         return false;
     case ADMISSION_UNKNOWN_KEY:
-        relay_local_reply(forward, STATUS_UNAUTHORIZED, why);
+        refuse_admission(forward, STATUS_UNAUTHORIZED, why);
         return false;
     case ADMISSION_UNAVAILABLE:
-        relay_local_reply(forward, STATUS_UNAVAILABLE, why);
+        refuse_admission(forward, STATUS_UNAVAILABLE, why);
         return false;
     }
     return false;
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -126,6 +126,8 @@
         "dandelionfork_gateway_config_version %" PRIu64 "\n"
         "dandelionfork_gateway_store_age_ms %" PRIu64 "\n"
         "dandelionfork_gateway_config_age_ms %" PRIu64 "\n"
+        "dandelionfork_gateway_store_revision %" PRIu64 "\n"
+        "dandelionfork_gateway_watch_gaps_total %" PRIu64 "\n"
         "dandelionfork_gateway_quarantined_parts %u\n"
         "dandelionfork_gateway_limited_endpoints %u\n"
         "dandelionfork_gateway_evacuated_data_centres %u\n"
@@ -143,6 +145,8 @@
         peers_count(gateway->peers),
         catalog != NULL ? catalog_version(catalog) : 0, age_ms,
         directory_config_age_ms(gateway->directory, loop_clock_ms()),
+        directory_revision(gateway->directory),
+        store_follow_watch_gaps(gateway->follow),
         crash_monitor_count(gateway->crashes),
         endpoints_limited(gateway->endpoints),
         endpoints_evacuated_count(gateway->endpoints),
@@ -213,7 +217,7 @@
 {
     struct gateway *gateway = data;
 
-    directory_apply(gateway->directory, items, full, confirmed_ms,
+    directory_apply(gateway->directory, items, full, confirmed_ms, "store",
                     loop_clock_ms());
 }
 
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -248,7 +248,8 @@
         return;
     }
     if (directory_confirm(peers->directory, message->revision,
-                          message_confirmed_ms(message), loop_clock_ms())) {
+                          message_confirmed_ms(message), peer->address,
+                          loop_clock_ms())) {
         peers->confirmed_ms =
             MAX(peers->confirmed_ms, message_confirmed_ms(message));
         return;
@@ -284,7 +285,8 @@
              peer->address, message->since, message->revision,
              message->age_ms);
     directory_apply(peers->directory, items, message->since == 0,
-                    message_confirmed_ms(message), loop_clock_ms());
+                    message_confirmed_ms(message), peer->address,
+                    loop_clock_ms());
     peers->confirmed_ms =
         MAX(peers->confirmed_ms, message_confirmed_ms(message));
     store_items_destroy(items);
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -39,6 +39,7 @@
     bool reachability_reported; /* false: the next result is reported */
     bool registered;            /* used by the registration thread only */
     _Atomic bool deregistering;
+    _Atomic uint64_t watch_gaps;
     pthread_mutex_t mutex; /* guards the fields below */
     pthread_cond_t became_active;
     struct store_follow_role role;
@@ -176,6 +177,29 @@
     return wait_ms;
 }
 
+/* Logs a response whose changes don't reach up to its revision: the store has
+   changed without telling the watch. */
+static void
+check_watch_gap(struct store_follow *follow, const struct store_items *changes,
+                uint64_t after_revision)
+{
+    uint64_t newest = after_revision;
+
+    for (guint i = 0; i < changes->list->len; i++) {
+        const struct store_item *item = g_ptr_array_index(changes->list, i);
+
+        newest = MAX(newest, item->revision);
+    }
+    if (newest < changes->revision) {
+        atomic_fetch_add(&follow->watch_gaps, 1);
+        LOG_WARN("a watch lacks changes up to its revision",
+                 "after=%" G_GUINT64_FORMAT " changes=%u"
+                 " newest=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
+                 after_revision, changes->list->len, newest,
+                 changes->revision);
+    }
+}
+
 /* Waits for changes. Returns the revision to watch from next, 0 if all items
    have to be listed again. *changed says, before the call, whether the
    previous one returned changes (also true for the first one), and after it,
@@ -195,6 +219,7 @@
     *changed = false;
     switch (result) {
     case STORE_WATCH_CHANGES:
+        check_watch_gap(follow, changes, revision);
         revision = changes->revision;
         *changed = changes->list->len > 0;
         post_items(follow, changes, false,
@@ -428,6 +453,12 @@
     pthread_mutex_unlock(&follow->mutex);
 }
 
+uint64_t
+store_follow_watch_gaps(const struct store_follow *follow)
+{
+    return atomic_load(&follow->watch_gaps);
+}
+
 void
 store_follow_deregister(struct store_follow *follow)
 {
--- a/io/store_follow.h
+++ b/io/store_follow.h
@@ -67,6 +67,9 @@
 void store_follow_set_role(struct store_follow *follow,
                            const struct store_follow_role *role);
 
+/* Number of watches whose changes did not reach up to their revision. */
+uint64_t store_follow_watch_gaps(const struct store_follow *follow);
+
 /* Asks the registration thread to remove this process's registration, which it
    does when it would next renew it. Doesn't block. */
 void store_follow_deregister(struct store_follow *follow);
--- a/tests/unit/test_config_copy.c
+++ b/tests/unit/test_config_copy.c
@@ -140,7 +140,8 @@
     for (uint64_t version = from; version <= to; version++) {
         add_version(items, version, routes);
     }
-    directory_apply(gateway->directory, items, false, START_MS, START_MS);
+    directory_apply(gateway->directory, items, false, START_MS, "peer",
+                    START_MS);
     store_items_destroy(items);
 }
 
@@ -155,7 +156,8 @@
     add_version(items, 1, ROUTES);
     item = g_ptr_array_index(items->list, 0);
     *strstr((char *)item->bytes, "route-150") = 'R';
-    directory_apply(gateway->directory, items, false, START_MS, START_MS);
+    directory_apply(gateway->directory, items, false, START_MS, "peer",
+                    START_MS);
     store_items_destroy(items);
 }
 
@@ -174,7 +176,7 @@
     store_items_encode(items, wire);
     received = store_items_decode(wire->data, wire->len);
     received->revision = items->revision;
-    directory_apply(to->directory, received, full, START_MS, START_MS);
+    directory_apply(to->directory, received, full, START_MS, "peer", START_MS);
     count = wire->len;
     g_byte_array_unref(wire);
     store_items_destroy(received);
@@ -226,7 +228,7 @@
     g_assert_false(directory_may_send(second->directory));
     g_assert_cmpuint(version_of(second), ==, 1);
     g_assert_false(directory_confirm(second->directory, FIRST_REVISION + 2,
-                                     START_MS + 100, START_MS + 100));
+                                     START_MS + 100, "peer", START_MS + 100));
     g_assert_cmpuint(
         directory_config_age_ms(second->directory, START_MS + 300), ==, 300);
     g_assert_cmpuint(pass(second, first), >, MIN_WHOLE_BYTES);
@@ -256,7 +258,8 @@
     items->revision++;
     store_items_add(items, "op/config", (const uint8_t *)invalid,
                     strlen(invalid), items->revision);
-    directory_apply(gateway->directory, items, false, START_MS, START_MS);
+    directory_apply(gateway->directory, items, false, START_MS, "peer",
+                    START_MS);
     g_assert_cmpuint(version_of(gateway), ==, BATCH + 1);
     g_assert_cmpuint(gateway->catalog_changes, ==, 2);
     store_items_destroy(items);
@@ -426,7 +429,7 @@
     g_assert_false(malformed);
     if (items != NULL) {
         directory_apply(session->receiver->directory, items,
-                        message->since == 0, START_MS, START_MS);
+                        message->since == 0, START_MS, "peer", START_MS);
         store_items_destroy(items);
         loop_stop(session->loop);
     }
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -79,7 +79,7 @@
 
     add_item(items, key, value, revision);
     items->revision = revision;
-    directory_apply(fixture->directory, items, false, now_ms, now_ms);
+    directory_apply(fixture->directory, items, false, now_ms, "peer", now_ms);
     store_items_destroy(items);
 }
 
@@ -90,7 +90,7 @@
     struct store_items *items = store_items_create();
 
     items->revision = revision;
-    directory_apply(fixture->directory, items, true, now_ms, now_ms);
+    directory_apply(fixture->directory, items, true, now_ms, "peer", now_ms);
     store_items_destroy(items);
 }
 
@@ -133,11 +133,14 @@
     g_assert_cmpuint(directory_age_ms(fixture->directory, 1400), ==, 400);
     /* A confirmation lowers the age only if it is later than the last one and
        its revision is not newer than the copy. */
-    g_assert_true(directory_confirm(fixture->directory, 10, 1300, 1300));
+    g_assert_true(
+        directory_confirm(fixture->directory, 10, 1300, "peer", 1300));
     g_assert_cmpuint(directory_age_ms(fixture->directory, 1400), ==, 100);
-    g_assert_true(directory_confirm(fixture->directory, 9, 1200, 1200));
+    g_assert_true(
+        directory_confirm(fixture->directory, 9, 1200, "peer", 1200));
     g_assert_cmpuint(directory_age_ms(fixture->directory, 1400), ==, 100);
-    g_assert_false(directory_confirm(fixture->directory, 11, 1400, 1400));
+    g_assert_false(
+        directory_confirm(fixture->directory, 11, 1400, "peer", 1400));
     g_assert_cmpuint(directory_age_ms(fixture->directory, 1400), ==, 100);
     destroy_fixture(fixture);
 }
@@ -201,7 +204,7 @@
     apply_change(fixture, "servers/w", ready_entry, 10, 100);
     directory_set_store_reachable(fixture->directory, false);
     for (uint64_t now_ms = 1000; now_ms < 5000; now_ms += 500) {
-        directory_confirm(fixture->directory, 10, now_ms, now_ms);
+        directory_confirm(fixture->directory, 10, now_ms, "peer", now_ms);
     }
     directory_set_store_reachable(fixture->directory, true);
     apply_change(fixture, "servers/w", NULL, 12, 5000);
@@ -274,7 +277,7 @@
     /* The directory ignores keys that a gateway doesn't use. */
     g_assert_cmpuint(items->list->len, ==, 2);
     g_assert_cmpuint(items->revision, ==, 12);
-    directory_apply(second->directory, items, true, 100, 200);
+    directory_apply(second->directory, items, true, 100, "peer", 200);
     g_assert_true(has_endpoint(second));
     g_assert_cmpuint(directory_age_ms(second->directory, 200), ==, 100);
     store_items_destroy(items);
@@ -305,7 +308,7 @@
     store_items_encode(items, wire);
     received = store_items_decode(wire->data, wire->len);
     received->revision = items->revision;
-    directory_apply(second->directory, received, false, 100, 200);
+    directory_apply(second->directory, received, false, 100, "peer", 200);
     g_assert_false(has_endpoint(second));
     g_assert_nonnull(endpoints_find(second->endpoints, "other"));
     g_assert_cmpuint(directory_revision(second->directory), ==, 13);
@@ -330,14 +333,14 @@
     apply_change(first, "servers/w", NULL, 12, 5000);
     g_assert_true(has_endpoint(first));
     items = directory_items_since(first->directory, 10, 0);
-    directory_apply(second->directory, items, false, 5000, 5100);
+    directory_apply(second->directory, items, false, 5000, "peer", 5100);
     g_assert_false(has_endpoint(second));
     store_items_destroy(items);
     destroy_fixture(second);
     /* A new gateway's copy leaves out items with a delayed removal. */
     second = create_fixture();
     items = directory_items_since(first->directory, 0, 0);
-    directory_apply(second->directory, items, true, 5000, 5100);
+    directory_apply(second->directory, items, true, 5000, "peer", 5100);
     g_assert_false(has_endpoint(second));
     store_items_destroy(items);
     destroy_fixture(first);
@@ -391,7 +394,8 @@
     g_assert_true(directory_is_catching_up(directory, 97000, 4500));
     directory_tick(fixture->directory, 97000);
     g_assert_true(directory_is_catching_up(directory, 97100, 4500));
-    g_assert_true(directory_confirm(fixture->directory, 10, 96900, 97200));
+    g_assert_true(
+        directory_confirm(fixture->directory, 10, 96900, "peer", 97200));
     g_assert_false(directory_is_catching_up(directory, 97200, 4500));
     /* The time to catch up is over. */
     directory_tick(fixture->directory, 110000);
@@ -446,12 +450,12 @@
     apply_change(fixture, "servers/w", ready_entry, 10, 100);
     apply_change(fixture, "op/evacuate/here", "{}", 11, 200);
     items = directory_items_since(fixture->directory, 0, 0);
-    directory_apply(other->directory, items, true, 200, 200);
+    directory_apply(other->directory, items, true, 200, "peer", 200);
     store_items_destroy(items);
     g_assert_true(is_evacuated(other));
     apply_change(fixture, "op/evacuate/here", NULL, 12, 300);
     items = directory_items_since(fixture->directory, 11, 0);
-    directory_apply(other->directory, items, false, 300, 300);
+    directory_apply(other->directory, items, false, 300, "peer", 300);
     store_items_destroy(items);
     g_assert_false(is_evacuated(other));
     destroy_fixture(other);
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -133,7 +133,7 @@
     store_items_add(items, "op/config", (const uint8_t *)config,
                     strlen(config), 10);
     items->revision = 10;
-    directory_apply(directory, items, true, now_ms, now_ms);
+    directory_apply(directory, items, true, now_ms, "peer", now_ms);
     store_items_destroy(items);
     g_assert_nonnull(directory_catalog(directory));
     return directory;
