--- a/tests/fakes/fake_users_store.c
+++ b/tests/fakes/fake_users_store.c
@@ -4,8 +4,13 @@
    endpoints: put?key=K (the body is the value), remove?key=K, down?on=1
    (closes all connections without a response), refuse?on=1 (503 to all
    requests), compact (watches from an older revision get 410), expire (ends
-   all leases), calls (returns the counts of reads and writes; the renewal of a
-   lease counts as a read, its creation as neither). */
+   all leases), calls (returns the counts of reads, writes and watches; the
+   renewal of a lease counts as a read, its creation as neither), quiet?on=1
+   (watches see no changes; a watch that ends has no events and the present
+   revision), drill?age_ms=A (the store comes back from a copy of itself that
+   is A ms old, without leases and in the next era; the caller writes again
+   what the operator and the endpoints have written since), revision (returns
+   it). Each answer has the era in Store-Era, unless it is 0 (--era 0). */
 
 #include <glib.h>
 #include <jansson.h>
@@ -30,6 +35,7 @@
     uint64_t revision;
     uint64_t created;
     uint64_t lease;
+    uint64_t written_ms;
 };
 
 struct users_store {
@@ -41,10 +47,13 @@
     uint64_t revision;
     uint64_t compacted_revision;
     uint64_t next_lease;
+    uint64_t era; /* 0: answers don't tell it */
     bool down;
     bool refusing;
+    bool quiet;
     uint64_t reads;
     uint64_t writes;
+    uint64_t watches;
 };
 
 static void
@@ -70,6 +79,7 @@
     item->revision = store->revision;
     item->created = old != NULL ? old->created : store->revision;
     item->lease = lease;
+    item->written_ms = fake_clock_ms();
     g_ptr_array_add(store->history, item);
     if (value != NULL) {
         g_hash_table_replace(store->items, item->key, item);
@@ -204,15 +214,22 @@
     uint64_t end_ms =
         fake_clock_ms() + fake_query_number(request, "wait_ms", 0);
     json_t *events = events_after(store, prefix, after);
+    uint64_t era = store->era;
 
     store->reads++;
-    while (json_array_size(events) == 0 && fake_clock_ms() < end_ms &&
-           !store->down && after >= store->compacted_revision) {
+    store->watches++;
+    while ((store->quiet || json_array_size(events) == 0) &&
+           fake_clock_ms() < end_ms && !store->down && store->era == era &&
+           after >= store->compacted_revision) {
         wait_step(store);
         json_decref(events);
         events = events_after(store, prefix, after);
     }
-    if (after < store->compacted_revision) {
+    if (store->quiet) {
+        json_array_clear(events);
+    }
+    if (after < store->compacted_revision || after > store->revision ||
+        store->era != era) {
         json_decref(events);
         response->status = STATUS_GONE;
         return;
@@ -307,6 +324,42 @@
     respond_json(response, json_pack("{s:i}", "ttl_ms", RENEWED_TTL_MS));
 }
 
+/* Removes the items that were written within the last age_ms, and those under
+   a lease, brings back what they replaced, and gives out their revisions
+   again.
+ */
+static void
+come_back_from_copy(struct users_store *store, uint64_t age_ms)
+{
+    uint64_t copied_ms = fake_clock_ms() - age_ms;
+
+    g_hash_table_remove_all(store->leases);
+    g_hash_table_remove_all(store->items);
+    while (store->history->len > 0) {
+        guint last = store->history->len - 1;
+        const struct item *item = g_ptr_array_index(store->history, last);
+
+        if (item->written_ms <= copied_ms) {
+            break;
+        }
+        store->revision = item->revision - 1;
+        g_ptr_array_remove_index(store->history, last);
+    }
+    for (guint i = 0; i < store->history->len; i++) {
+        struct item *item = g_ptr_array_index(store->history, i);
+
+        if (item->value == NULL || item->lease != 0) {
+            g_hash_table_remove(store->items, item->key);
+        }
+        else {
+            g_hash_table_replace(store->items, item->key, item);
+        }
+    }
+    store->compacted_revision =
+        MIN(store->compacted_revision, store->revision);
+    store->era++;
+}
+
 static void
 control(struct users_store *store, const struct fake_request *request,
         const char *command, struct fake_response *response)
@@ -336,10 +389,21 @@
         g_hash_table_remove_all(store->leases);
         expire_leases(store, fake_clock_ms());
     }
+    else if (strcmp(command, "quiet") == 0) {
+        store->quiet = fake_query_number(request, "on", 1) != 0;
+    }
+    else if (strcmp(command, "drill") == 0) {
+        come_back_from_copy(store, fake_query_number(request, "age_ms", 0));
+    }
+    else if (strcmp(command, "revision") == 0) {
+        response->body = g_strdup_printf("{\"revision\":%lu}\n",
+                                         (unsigned long)store->revision);
+    }
     else if (strcmp(command, "calls") == 0) {
-        response->body = g_strdup_printf("{\"reads\":%lu,\"writes\":%lu}\n",
-                                         (unsigned long)store->reads,
-                                         (unsigned long)store->writes);
+        response->body = g_strdup_printf(
+            "{\"reads\":%lu,\"writes\":%lu,\"watches\":%lu}\n",
+            (unsigned long)store->reads, (unsigned long)store->writes,
+            (unsigned long)store->watches);
     }
     else {
         response->status = MHD_HTTP_NOT_FOUND;
@@ -408,6 +472,13 @@
     else {
         response->status = MHD_HTTP_NOT_FOUND;
     }
+    if (store->era > 0) {
+        char *era = g_strdup_printf("%lu", (unsigned long)store->era);
+
+        response->headers[0] =
+            (struct fake_header_line){"Store-Era", g_intern_string(era)};
+        g_free(era);
+    }
     pthread_mutex_unlock(&store->lock);
 }
 
@@ -419,11 +490,13 @@
         .lock = PTHREAD_MUTEX_INITIALIZER,
         .changed = PTHREAD_COND_INITIALIZER,
         .revision = 1,
+        .era = 1,
     };
+    static const char *const names[] = {"era"};
 
     store.items = g_hash_table_new(g_str_hash, g_str_equal);
     store.history = g_ptr_array_new_with_free_func(free_item);
     store.leases = g_hash_table_new(NULL, NULL);
-    address = fake_parse_arguments(argc, argv, NULL, NULL, 0);
+    address = fake_parse_arguments(argc, argv, names, &store.era, 1);
     return fake_serve(&address, handle, &store);
 }
