Store: a watch without all changes up to its revision is not taken

Cause: the copy's revision was what a watch said, whatever changes came with it. A watch that ends without a change that the store has made moved the copy past it; the next watch asked for what came after. The copy counted as the newest, confirmed other gateways' copies, and gave them its revision, so that no age check could notice. The class: a position is taken from the sender's word and not from what has been received.

Change: the changes of a watch must reach up to its revision; each change has a revision of its own. Otherwise they are dropped and all items are listed. A list that follows a failed or useless watch now waits for the backoff, which only a useful watch resets.

--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -177,11 +177,12 @@
     return wait_ms;
 }
 
-/* Logs a response whose changes don't reach up to its revision: the store has
-   changed without telling the watch. */
-static void
-check_watch_gap(struct store_follow *follow, const struct store_items *changes,
-                uint64_t after_revision)
+/* Whether the changes reach up to the revision of the response. Each change
+   has a revision of its own, so that otherwise some are missing, and a watch
+   from that revision would never return them. */
+static bool
+is_complete(struct store_follow *follow, const struct store_items *changes,
+            uint64_t after_revision)
 {
     uint64_t newest = after_revision;
 
@@ -190,14 +191,33 @@
 
         newest = MAX(newest, item->revision);
     }
-    if (newest < changes->revision) {
-        atomic_fetch_add(&follow->watch_gaps, 1);
-        LOG_WARN("a watch lacks changes up to its revision",
-                 "after=%" G_GUINT64_FORMAT " changes=%u"
-                 " newest=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
-                 after_revision, changes->list->len, newest,
-                 changes->revision);
+    if (newest == changes->revision) {
+        return true;
     }
+    atomic_fetch_add(&follow->watch_gaps, 1);
+    LOG_WARN("a watch lacks changes up to its revision, all items are listed "
+             "again",
+             "after=%" G_GUINT64_FORMAT " changes=%u"
+             " newest=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
+             after_revision, changes->list->len, newest, changes->revision);
+    return false;
+}
+
+/* Delivers the changes of a watch and takes over the items. Returns the
+   revision to watch from next. */
+static uint64_t
+take_changes(struct store_follow *follow, struct store_items *changes,
+             uint64_t after_revision, uint64_t confirmed_ms)
+{
+    uint64_t revision = changes->revision;
+
+    report_reachability(follow, true, "");
+    if (!is_complete(follow, changes, after_revision)) {
+        store_items_destroy(changes);
+        return 0;
+    }
+    post_items(follow, changes, false, confirmed_ms);
+    return revision;
 }
 
 /* Waits for changes. Returns the revision to watch from next, 0 if all items
@@ -219,13 +239,11 @@
     *changed = false;
     switch (result) {
     case STORE_WATCH_CHANGES:
-        check_watch_gap(follow, changes, revision);
-        revision = changes->revision;
         *changed = changes->list->len > 0;
-        post_items(follow, changes, false,
-                   watch_confirmed_ms(changes, asked_ms, wait_ms));
-        report_reachability(follow, true, "");
-        if (*changed) {
+        revision =
+            take_changes(follow, changes, revision,
+                         watch_confirmed_ms(changes, asked_ms, wait_ms));
+        if (*changed && revision != 0) {
             usleep(BATCH_DELAY_MS * US_PER_MS);
         }
         return revision;
@@ -284,13 +302,15 @@
         else {
             revision =
                 wait_for_changes(follow, store, revision, &changed, &failed);
+            if (revision != 0 && !failed) {
+                backoff_ms = MIN_BACKOFF_MS;
+            }
         }
-        if (failed) {
+        /* Also before a list, so that a store whose watches fail at once
+           is not asked in a loop without a pause. */
+        if (failed || revision == 0) {
             sleep_before_retry(&backoff_ms);
         }
-        else {
-            backoff_ms = MIN_BACKOFF_MS;
-        }
     }
     return NULL;
 }
--- a/tests/unit/test_store_follow.c
+++ b/tests/unit/test_store_follow.c
@@ -1,5 +1,6 @@
 /* Tests the confirmed_ms that store_follow reports for each kind of answer to
-   a watch. The store is a fake in this process. */
+   a watch, and that an answer without all changes is not taken. The store is a
+   fake in this process. */
 
 #include <glib.h>
 #include <pthread.h>
@@ -21,6 +22,10 @@
     ANSWER_EARLY,      /* without changes, at once */
     ANSWER_CHANGE,     /* one change, after the whole wait */
     ANSWER_COUNT,
+    /* A list follows each of these. */
+    ANSWER_GAP_EMPTY = ANSWER_COUNT, /* no change, at a later revision */
+    ANSWER_GAP_CHANGE,               /* one of two changes */
+    ANSWER_GAP_END,
 };
 
 struct fixture {
@@ -32,6 +37,8 @@
     uint32_t watches;
     uint32_t reports;
     uint32_t lists;
+    uint64_t listed_revision; /* what the list returns */
+    uint64_t followed_revision;
 };
 
 static struct fixture fixture = {.mutex = PTHREAD_MUTEX_INITIALIZER};
@@ -44,7 +51,7 @@
     (void)store;
     (void)prefix;
     (void)error;
-    items->revision = REVISION;
+    items->revision = fixture.listed_revision;
     return items;
 }
 
@@ -73,6 +80,14 @@
         store_items_add(*changes, "k", (const uint8_t *)"v", 1,
                         after_revision + 1);
     }
+    if (watch == ANSWER_GAP_EMPTY || watch == ANSWER_GAP_CHANGE) {
+        (*changes)->revision += 2;
+        fixture.listed_revision = (*changes)->revision;
+    }
+    if (watch == ANSWER_GAP_CHANGE) {
+        store_items_add(*changes, "k", (const uint8_t *)"w", 1,
+                        after_revision + 1);
+    }
     return STORE_WATCH_CHANGES;
 }
 
@@ -119,7 +134,7 @@
          uint64_t confirmed_ms)
 {
     (void)data;
-    (void)items;
+    fixture.followed_revision = items->revision;
     if (full) {
         fixture.lists++;
         return;
@@ -127,7 +142,7 @@
     if (fixture.reports < ANSWER_COUNT) {
         fixture.confirmed_ms[fixture.reports] = confirmed_ms;
     }
-    if (++fixture.reports == ANSWER_COUNT) {
+    if (++fixture.reports > ANSWER_COUNT) {
         loop_stop(fixture.loop);
     }
 }
@@ -142,7 +157,9 @@
 
 /* A watch that ends after its whole wait without changes confirms the copy for
    all of that time. An answer that comes early, or with changes, confirms it
-   only as of the start of the watch. */
+   only as of the start of the watch. An answer whose changes don't reach up to
+   its revision is dropped, and a list takes its place: the copy would lack the
+   others for good and count as the newest. */
 static void
 test_confirmed_time(void)
 {
@@ -159,11 +176,14 @@
                                                        60000};
     uint64_t started_ms = loop_clock_ms();
 
+    fixture.listed_revision = REVISION;
     fixture.loop = loop_create();
     fixture.follow =
         store_follow_create(fixture.loop, &settings, &handlers, NULL);
     loop_run(fixture.loop);
-    g_assert_cmpuint(fixture.lists, ==, 1);
+    g_assert_cmpuint(fixture.lists, ==, 3);
+    g_assert_cmpuint(fixture.followed_revision, ==, REVISION + 1 + 2 + 2);
+    g_assert_cmpuint(store_follow_watch_gaps(fixture.follow), ==, 2);
     g_assert_cmpuint(fixture.confirmed_ms[ANSWER_AFTER_WAIT], >=,
                      started_ms + WAIT_MS);
     g_assert_cmpuint(fixture.confirmed_ms[ANSWER_AFTER_WAIT], <=,
