--- a/core/message.h
+++ b/core/message.h
@@ -55,6 +55,7 @@
    Builds that know none send 0 and don't read it. */
 enum {
     MESSAGE_PEER_CHANGES = 1 << 0, /* CHANGES_ASK and CHANGES */
+    MESSAGE_PEER_ERAS = 1 << 1,    /* revisions with an era */
 };
 
 enum work_class {
@@ -108,7 +109,7 @@
     uint64_t checksum; /* XXH64 of the whole response body */
     uint32_t status;   /* HTTP status of the response */
     uint64_t stamp_ms; /* of the ASK message, by its sender's clock */
-    uint64_t revision; /* of the sender's copy of the store */
+    uint64_t revision; /* of the sender's copy, see core/store_revision.h */
     /* Time since that revision was known to be the latest; UINT64_MAX: the
        sender has no copy. */
     uint64_t age_ms;
--- a/gateway/config_copy.c
+++ b/gateway/config_copy.c
@@ -8,6 +8,7 @@
 #include "core/byte_patch.h"
 #include "core/catalog.h"
 #include "core/flat_items.h"
+#include "core/store_revision.h"
 #include "io/log.h"
 #include "io/loop.h"
 #include "io/store_items.h"
@@ -345,9 +346,9 @@
     (void)now_ms;
     copy->running = NULL;
     if (job->result.failed) {
-        LOG_WARN("the configuration can't be patched",
-                 "revision=%" G_GUINT64_FORMAT " have=%" G_GUINT64_FORMAT,
-                 job->result.revision, copy->revision);
+        LOG_WARN("the configuration can't be patched", "revision=%s have=%s",
+                 store_revision_text(job->result.revision).text,
+                 store_revision_text(copy->revision).text);
         job->result.failed = steps_up_to_whole(copy->waiting) == 0;
         job->result.confirmed_ms = 0;
     }
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -5,8 +5,9 @@
 
 #include "core/catalog.h"
 #include "core/endpoints.h"
-#include "core/followers.h"
+#include "core/store_revision.h"
 #include "gateway/config_copy.h"
+#include "gateway/directory_state.h"
 #include "io/log.h"
 #include "io/store_items.h"
 #include "platform/platform_endpoint.h"
@@ -29,39 +30,6 @@
     /* How long after its start or a suspension the process may still get a
        newer state: two heartbeats of the peers and a watch of the store. */
     CATCH_UP_MS = 2000,
-    DECIMAL = 10,
-};
-
-struct directory_item {
-    bool present;
-    uint8_t *bytes; /* NULL: removed, or in the config_copy */
-    size_t count;
-    uint64_t revision;
-    /* Revision of a delayed removal, after which the item is still in use;
-       0: none. */
-    uint64_t removal_revision;
-    bool looked_up; /* evacuations: whether the data centre is known */
-};
-
-struct directory {
-    struct endpoints *endpoints;
-    struct directory_handlers handlers;
-    void *data;
-    GHashTable *items; /* key to struct directory_item */
-    struct catalog *catalog;
-    struct config_copy *config;
-    bool config_failed; /* its patches; the copy lacks the newest one */
-    uint64_t revision;
-    uint64_t confirmed_ms;        /* 0: never */
-    char *source;                 /* of the last confirmation; NULL: none */
-    uint64_t config_confirmed_ms; /* of the configuration in force */
-    uint64_t now_ms;              /* of the call in progress */
-    bool store_reachable;
-    uint64_t recovered_ms;     /* end of the store's last outage; 0: none */
-    uint64_t ticked_ms;        /* 0: not yet */
-    uint64_t resumed_ms;       /* end of the last suspension, or start */
-    bool has_delayed_removals; /* some item may have a removal_revision */
-    bool has_new_evacuations;  /* whose data centre was not looked up yet */
 };
 
 static void
@@ -78,7 +46,11 @@
              uint64_t revision)
 {
     if (directory->catalog != NULL &&
-        catalog_version(catalog) <= catalog_version(directory->catalog)) {
+        catalog_version(catalog) == catalog_version(directory->catalog)) {
+        return;
+    }
+    if (directory->catalog != NULL &&
+        catalog_version(catalog) < catalog_version(directory->catalog)) {
         LOG_WARN("an older configuration is not taken",
                  "version=%" G_GUINT64_FORMAT " in_force=%" G_GUINT64_FORMAT,
                  catalog_version(catalog),
@@ -86,8 +58,8 @@
         return;
     }
     LOG_INFO("configuration in force",
-             "version=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
-             catalog_version(catalog), revision);
+             "version=%" G_GUINT64_FORMAT " revision=%s",
+             catalog_version(catalog), store_revision_text(revision).text);
     catalog_unref(directory->catalog);
     directory->catalog = catalog_ref(catalog);
     directory->handlers.catalog_changed(directory->data, catalog);
@@ -117,8 +89,8 @@
     }
     if (result->why != NULL) {
         LOG_ERR("a configuration can't be read, the last one stays in force",
-                "revision=%" G_GUINT64_FORMAT " error=\"%s\"",
-                result->revision, result->why);
+                "revision=%s error=\"%s\"",
+                store_revision_text(result->revision).text, result->why);
     }
     if (result->catalog != NULL) {
         take_catalog(directory, result->catalog, result->revision);
@@ -167,7 +139,7 @@
 {
     if (item->bytes == NULL) {
         LOG_WARN("the configuration was removed, the last one stays in force",
-                 "revision=%" G_GUINT64_FORMAT, item->revision);
+                 "revision=%s", store_revision_text(item->revision).text);
         return;
     }
     config_copy_add(directory->config, item, directory->confirmed_ms);
@@ -191,13 +163,13 @@
     if (!platform_endpoint_apply(directory->endpoints, item, directory->now_ms,
                                  &changed, &warning)) {
         LOG_WARN("an endpoint's entry can't be read",
-                 "endpoint=%s revision=%" G_GUINT64_FORMAT, id,
-                 item->revision);
+                 "endpoint=%s revision=%s", id,
+                 store_revision_text(item->revision).text);
     }
     if (warning != NULL) {
         LOG_WARN("an endpoint's entry is wrong",
-                 "endpoint=%s error=\"%s\" revision=%" G_GUINT64_FORMAT, id,
-                 warning, item->revision);
+                 "endpoint=%s error=\"%s\" revision=%s", id, warning,
+                 store_revision_text(item->revision).text);
     }
     if (!changed) {
         return;
@@ -205,8 +177,7 @@
     endpoint = endpoints_find(directory->endpoints, id);
     LOG_INFO("endpoint changed",
              "endpoint=%s state=%s service=%s born_ms=%" G_GUINT64_FORMAT
-             " said_leaving=%d cold_ms=%" G_GUINT64_FORMAT
-             " revision=%" G_GUINT64_FORMAT,
+             " said_leaving=%d cold_ms=%" G_GUINT64_FORMAT " revision=%s",
              id,
              endpoint == NULL ? "gone"
                               : (endpoint->draining ? "leaving" : "ready"),
@@ -214,7 +185,7 @@
              endpoint == NULL ? 0 : endpoint->born_ms,
              endpoint != NULL && endpoint->leaving,
              endpoint != NULL ? cold_left_ms(endpoint, directory->now_ms) : 0,
-             item->revision);
+             store_revision_text(item->revision).text);
 }
 
 static void
@@ -230,8 +201,8 @@
     directory->has_new_evacuations |= evacuated;
     LOG_INFO(evacuated ? "data centre is evacuated"
                        : "data centre is in use again",
-             "data_centre=%s revision=%" G_GUINT64_FORMAT, data_centre,
-             item->revision);
+             "data_centre=%s revision=%s", data_centre,
+             store_revision_text(item->revision).text);
 }
 
 static void
@@ -265,26 +236,32 @@
 static bool
 is_recovering(const struct directory *directory, uint64_t now_ms)
 {
-    return directory->recovered_ms != 0 &&
-           now_ms < directory->recovered_ms + RECOVERY_GRACE_MS;
+    return (directory->recovered_ms != 0 &&
+            now_ms < directory->recovered_ms + RECOVERY_GRACE_MS) ||
+           era_change_delays_removals(&directory->era, now_ms);
 }
 
 /* Records when the copy was newest. A long gap since the last confirmation is
    an outage of the store for all gateways: otherwise another one would have
-   confirmed the copy meanwhile. */
+   confirmed the copy meanwhile. At the beginning of an era the store itself
+   may lack what it had acknowledged before. */
 static void
 set_confirmed(struct directory *directory, uint64_t confirmed_ms,
               const char *source, uint64_t now_ms)
 {
-    if (confirmed_ms <= directory->confirmed_ms) {
+    uint64_t complete_ms = era_change_complete_ms(&directory->era);
+    uint64_t last_ms = MAX(directory->confirmed_ms, complete_ms);
+
+    if (confirmed_ms <= directory->confirmed_ms ||
+        confirmed_ms < complete_ms) {
         return;
     }
     if (directory->confirmed_ms != 0 &&
-        confirmed_ms - directory->confirmed_ms > MAX_SAFE_GAP_MS) {
+        confirmed_ms - last_ms > MAX_SAFE_GAP_MS) {
         directory->recovered_ms = now_ms;
         LOG_INFO("the store was unreachable, removals are delayed",
                  "gap_ms=%" G_GUINT64_FORMAT " hold_ms=%d",
-                 confirmed_ms - directory->confirmed_ms, RECOVERY_GRACE_MS);
+                 confirmed_ms - last_ms, RECOVERY_GRACE_MS);
     }
     directory->confirmed_ms = confirmed_ms;
     if (g_strcmp0(directory->source, source) != 0) {
@@ -293,8 +270,9 @@
     }
 }
 
-static void
-set_item(struct directory *directory, const struct store_item *item)
+/* Takes an item into the copy, without what follows from it. */
+static struct directory_item *
+store_item(struct directory *directory, const struct store_item *item)
 {
     struct directory_item *known =
         g_hash_table_lookup(directory->items, item->key);
@@ -314,18 +292,72 @@
     known->revision = item->revision;
     known->removal_revision = 0;
     known->looked_up = false;
+    known->held = false;
+    return known;
+}
+
+static void
+set_item(struct directory *directory, const struct store_item *item)
+{
+    store_item(directory, item);
     process_item(directory, item);
 }
 
-/* Operators' items have no lease, so no outage can have removed them. */
+/* Whether an item that was known in an earlier era is the same in this one. */
 static bool
-is_registration(enum platform_item type)
+is_unchanged(const struct directory_item *known, const struct store_item *item)
 {
-    return type != PLATFORM_ITEM_CONFIG && type != PLATFORM_ITEM_EVACUATION;
+    return known->bytes != NULL && known->count == item->count &&
+           !store_revision_is_same_era(known->revision, item->revision) &&
+           memcmp(known->bytes, item->bytes, item->count) == 0;
+}
+
+/* Whether a registration may be an old one that the store's copy has brought
+   back: of an endpoint that has left, or was about to, before the era began.
+ */
+static bool
+must_hold(const struct directory *directory,
+          const struct directory_item *known, const struct store_item *item,
+          uint64_t now_ms)
+{
+    const struct endpoint *endpoint;
+
+    if (known == NULL ||
+        platform_store_item_type(item->key) != PLATFORM_ITEM_ENDPOINT ||
+        !era_change_is_restored(&directory->era, item->revision, now_ms)) {
+        return false;
+    }
+    endpoint = endpoints_find(directory->endpoints,
+                              platform_store_endpoint_id(item->key));
+    return known->held || endpoint == NULL || endpoint->draining;
+}
+
+static void
+hold_item(struct directory *directory, const struct store_item *item)
+{
+    store_item(directory, item)->held = true;
+    directory->has_held = true;
+    LOG_INFO("a registration of before the era is not used yet",
+             "endpoint=%s revision=%s", platform_store_endpoint_id(item->key),
+             store_revision_text(item->revision).text);
+}
+
+/* Whether the owner of a missing item may write it again. Operators' items
+   have no lease, so no outage can have removed them, but an older copy of the
+   store may lack them. */
+static bool
+may_come_back(const struct directory *directory, const char *key,
+              uint64_t now_ms)
+{
+    enum platform_item type = platform_store_item_type(key);
+
+    if (type == PLATFORM_ITEM_CONFIG || type == PLATFORM_ITEM_EVACUATION) {
+        return era_change_delays_removals(&directory->era, now_ms);
+    }
+    return is_recovering(directory, now_ms);
 }
 
-/* Removes an item. Shortly after an outage the removal of a registration is
-   delayed, since its owner may register again. */
+/* Removes an item, with a delay if its owner may write it again. */
 static void
 remove_item(struct directory *directory, const struct store_item *removal,
             uint64_t now_ms)
@@ -334,8 +366,7 @@
         g_hash_table_lookup(directory->items, removal->key);
 
     if (known != NULL && known->present &&
-        is_registration(platform_store_item_type(removal->key)) &&
-        is_recovering(directory, now_ms)) {
+        may_come_back(directory, removal->key, now_ms)) {
         known->removal_revision = removal->revision;
         directory->has_delayed_removals = true;
         return;
@@ -363,6 +394,13 @@
     if (item->bytes == NULL) {
         remove_item(directory, item, now_ms);
     }
+    else if (must_hold(directory, known, item, now_ms)) {
+        hold_item(directory, item);
+    }
+    else if (known != NULL && is_unchanged(known, item)) {
+        known->revision = item->revision;
+        known->removal_revision = 0;
+    }
     else {
         set_item(directory, item);
     }
@@ -440,8 +478,8 @@
         data_centre = platform_store_evacuated_data_centre(key);
         if (!is_data_centre_known(directory, data_centre)) {
             LOG_WARN("no endpoint or gateway is in the evacuated data centre",
-                     "data_centre=%s revision=%" G_GUINT64_FORMAT, data_centre,
-                     item->revision);
+                     "data_centre=%s revision=%s", data_centre,
+                     store_revision_text(item->revision).text);
         }
     }
 }
@@ -451,10 +489,21 @@
                 bool full, uint64_t confirmed_ms, const char *source,
                 uint64_t now_ms)
 {
-    if (items->revision < directory->revision) {
+    /* Changes lead to their revision from one of the same era only. */
+    if (items->revision < directory->revision ||
+        (!full && directory->revision != 0 &&
+         !store_revision_is_same_era(items->revision, directory->revision))) {
         return;
     }
     directory->now_ms = now_ms;
+    if (era_change_begin(&directory->era, directory->revision, items->revision,
+                         now_ms)) {
+        LOG_WARN("the copy is of another era of the store, removals are "
+                 "delayed",
+                 "revision=%s known=%s source=%s",
+                 store_revision_text(items->revision).text,
+                 store_revision_text(directory->revision).text, source);
+    }
     set_confirmed(directory, confirmed_ms, source, now_ms);
     for (guint i = 0; i < items->list->len; i++) {
         apply_item(directory, g_ptr_array_index(items->list, i), now_ms);
@@ -473,6 +522,7 @@
                   uint64_t confirmed_ms, const char *source, uint64_t now_ms)
 {
     if (directory->revision < revision || directory->revision == 0 ||
+        !store_revision_is_same_era(revision, directory->revision) ||
         directory->config_failed) {
         return false;
     }
@@ -510,41 +560,88 @@
             now_ms < directory->resumed_ms + CATCH_UP_MS);
 }
 
-void
-directory_tick(struct directory *directory, uint64_t now_ms)
+/* Calls the handler for the keys of all items that is_due selects, which may
+   change the items. */
+static void
+for_each_due(struct directory *directory,
+             bool (*is_due)(const struct directory_item *item),
+             void (*handler)(struct directory *directory, const char *key,
+                             uint64_t now_ms),
+             uint64_t now_ms)
 {
-    GPtrArray *removals;
+    GPtrArray *keys = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter iter;
     gpointer key;
     gpointer value;
 
+    g_hash_table_iter_init(&iter, directory->items);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        if (is_due(value)) {
+            g_ptr_array_add(keys, g_strdup(key));
+        }
+    }
+    for (guint i = 0; i < keys->len; i++) {
+        handler(directory, g_ptr_array_index(keys, i), now_ms);
+    }
+    g_ptr_array_free(keys, TRUE);
+}
+
+static bool
+has_removal(const struct directory_item *item)
+{
+    return item->removal_revision > 0;
+}
+
+static void
+apply_removal(struct directory *directory, const char *key, uint64_t now_ms)
+{
+    const struct directory_item *item =
+        g_hash_table_lookup(directory->items, key);
+    struct store_item removal = {.key = (char *)key,
+                                 .revision = item->removal_revision};
+
+    remove_item(directory, &removal, now_ms);
+}
+
+static bool
+is_held(const struct directory_item *item)
+{
+    return item->held;
+}
+
+/* Uses a registration that has been held, and is still in the store. */
+static void
+use_held_item(struct directory *directory, const char *key, uint64_t now_ms)
+{
+    struct directory_item *known = g_hash_table_lookup(directory->items, key);
+    struct store_item item = {.key = (char *)key,
+                              .bytes = known->bytes,
+                              .count = known->count,
+                              .revision = known->revision};
+
+    if (!era_change_is_restored(&directory->era, item.revision, now_ms)) {
+        known->held = false;
+        process_item(directory, &item);
+    }
+    directory->has_held |= known->held;
+}
+
+void
+directory_tick(struct directory *directory, uint64_t now_ms)
+{
     if (was_suspended(directory, now_ms)) {
         directory->resumed_ms = now_ms;
     }
     directory->ticked_ms = now_ms;
     directory->now_ms = now_ms;
-    if (!directory->has_delayed_removals || is_recovering(directory, now_ms)) {
-        return;
-    }
-    directory->has_delayed_removals = false;
-    removals = g_ptr_array_new_with_free_func(g_free);
-    g_hash_table_iter_init(&iter, directory->items);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        if (((struct directory_item *)value)->removal_revision > 0) {
-            g_ptr_array_add(removals, g_strdup(key));
-        }
+    if (directory->has_held) {
+        directory->has_held = false;
+        for_each_due(directory, is_held, use_held_item, now_ms);
     }
-    for (guint i = 0; i < removals->len; i++) {
-        const struct directory_item *item = g_hash_table_lookup(
-            directory->items, g_ptr_array_index(removals, i));
-        struct store_item removal = {
-            .key = g_ptr_array_index(removals, i),
-            .revision = item->removal_revision,
-        };
-
-        remove_item(directory, &removal, now_ms);
+    if (directory->has_delayed_removals && !is_recovering(directory, now_ms)) {
+        directory->has_delayed_removals = false;
+        for_each_due(directory, has_removal, apply_removal, now_ms);
     }
-    g_ptr_array_free(removals, TRUE);
 }
 
 struct catalog *
@@ -607,102 +704,14 @@
            !config_copy_is_pending(directory->config);
 }
 
-uint64_t
-directory_revision(const struct directory *directory)
-{
-    return directory->revision;
-}
-
-static void
-add_config(const struct directory *directory, struct store_items *items,
-           uint64_t config_base)
-{
-    GByteArray *patches = config_copy_patches(directory->config, config_base);
-    uint64_t revision = config_copy_revision(directory->config);
-
-    if (patches != NULL) {
-        store_items_add(items, PLATFORM_CONFIG_KEY, patches->data,
-                        patches->len, revision);
-        store_items_set_patch(items);
-        g_byte_array_unref(patches);
-    }
-    else if (revision > 0) {
-        gsize count;
-        const uint8_t *bytes =
-            g_bytes_get_data(config_copy_bytes(directory->config), &count);
-
-        store_items_add(items, PLATFORM_CONFIG_KEY, bytes, count, revision);
-    }
-}
-
-struct store_items *
-directory_items_since(const struct directory *directory, uint64_t since,
-                      uint64_t config_base)
-{
-    struct store_items *items = store_items_create();
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
-    items->revision = directory->revision;
-    g_hash_table_iter_init(&iter, directory->items);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct directory_item *item = value;
-
-        /* Delayed removals are sent too: each gateway decides by itself
-           whether to delay them. */
-        bool removed = !item->present || item->removal_revision > 0;
-        uint64_t revision = MAX(item->revision, item->removal_revision);
-
-        if (revision <= since || (removed && since == 0)) {
-            continue;
-        }
-        if (!removed &&
-            platform_store_item_type(key) == PLATFORM_ITEM_CONFIG) {
-            add_config(directory, items, since > 0 ? config_base : 0);
-            continue;
-        }
-        store_items_add(items, key, removed ? NULL : item->bytes,
-                        removed ? 0 : item->count, revision);
-    }
-    return items;
-}
-
-GPtrArray *
-directory_gateway_addresses(const struct directory *directory)
+uint32_t
+directory_era_changes(const struct directory *directory)
 {
-    GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
-    g_hash_table_iter_init(&iter, directory->items);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct directory_item *item = value;
-
-        if (item->bytes != NULL &&
-            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY) {
-            g_ptr_array_add(addresses,
-                            g_strndup((const char *)item->bytes, item->count));
-        }
-    }
-    return addresses;
+    return directory->era.count;
 }
 
-uint32_t
-directory_gateway_capacity(const struct directory *directory,
-                           const char *address)
+uint64_t
+directory_revision(const struct directory *directory)
 {
-    char *key = platform_store_capacity_key(address);
-    const struct directory_item *item =
-        g_hash_table_lookup(directory->items, key);
-    guint64 capacity = 0;
-
-    g_free(key);
-    if (item == NULL || item->bytes == NULL ||
-        !g_ascii_string_to_unsigned((const char *)item->bytes, DECIMAL, 0,
-                                    FOLLOWERS_MAX_CAPACITY, &capacity, NULL)) {
-        return 0;
-    }
-    return (uint32_t)capacity;
+    return directory->revision;
 }
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -48,8 +48,11 @@
    full: the items are the store's whole content; otherwise they are changes.
    They were the store's newest state at confirmed_ms or later; source, "store"
    or a gateway's address, says who has confirmed that, and is copied. Nothing
-   happens if their revision is below the directory's. A configuration among
-   them is in force once it is decoded; see gateway/config_copy.h. */
+   happens if their revision is below the directory's, or if they are changes
+   of another era (core/store_revision.h). For some seconds after the first
+   list of a new era nothing counts as confirmed, missing items are kept, and
+   endpoints that had left or were draining stay so. A configuration among them
+   is in force once it is decoded; see gateway/config_copy.h. */
 void directory_apply(struct directory *directory,
                      const struct store_items *items, bool full,
                      uint64_t confirmed_ms, const char *source,
@@ -97,6 +100,9 @@
 /* Who has confirmed the copy last: "store", a gateway's address, or "-". */
 const char *directory_source(const struct directory *directory);
 
+/* How often the store has come back from an older copy of itself. */
+uint32_t directory_era_changes(const struct directory *directory);
+
 /* The store's revision that the copy stands for; 0: nothing was read yet. */
 uint64_t directory_revision(const struct directory *directory);
 
@@ -115,6 +121,10 @@
 /* Whether the copy is complete. It is not while a configuration is decoded. */
 bool directory_may_send(const struct directory *directory);
 
+/* The revision from which directory_items_since() can tell the changes, since
+   or 0: a copy of another era may have items that this one never had. */
+uint64_t directory_since(const struct directory *directory, uint64_t since);
+
 /* The items to send to another gateway: those that changed after revision
    since, with removals, or all present items if since is 0. The configuration
    is sent as patches against the revision config_base, if they are known and
--- /dev/null
+++ b/gateway/directory_changes.c
@@ -0,0 +1,112 @@
+#include <glib.h>
+
+#include "core/followers.h"
+#include "core/store_revision.h"
+#include "gateway/config_copy.h"
+#include "gateway/directory_state.h"
+#include "io/store_items.h"
+#include "platform/platform_store.h"
+
+enum {
+    DECIMAL = 10,
+};
+
+static void
+add_config(const struct directory *directory, struct store_items *items,
+           uint64_t config_base)
+{
+    GByteArray *patches = config_copy_patches(directory->config, config_base);
+    uint64_t revision = config_copy_revision(directory->config);
+
+    if (patches != NULL) {
+        store_items_add(items, PLATFORM_CONFIG_KEY, patches->data,
+                        patches->len, revision);
+        store_items_set_patch(items);
+        g_byte_array_unref(patches);
+    }
+    else if (revision > 0) {
+        gsize count;
+        const uint8_t *bytes =
+            g_bytes_get_data(config_copy_bytes(directory->config), &count);
+
+        store_items_add(items, PLATFORM_CONFIG_KEY, bytes, count, revision);
+    }
+}
+
+uint64_t
+directory_since(const struct directory *directory, uint64_t since)
+{
+    return store_revision_is_same_era(since, directory->revision) ? since : 0;
+}
+
+struct store_items *
+directory_items_since(const struct directory *directory, uint64_t since,
+                      uint64_t config_base)
+{
+    struct store_items *items = store_items_create();
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    items->revision = directory->revision;
+    g_hash_table_iter_init(&iter, directory->items);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct directory_item *item = value;
+
+        /* Delayed removals are sent too: each gateway decides by itself
+           whether to delay them. */
+        bool removed = !item->present || item->removal_revision > 0;
+        uint64_t revision = MAX(item->revision, item->removal_revision);
+
+        if (revision <= since || (removed && since == 0)) {
+            continue;
+        }
+        if (!removed &&
+            platform_store_item_type(key) == PLATFORM_ITEM_CONFIG) {
+            add_config(directory, items, since > 0 ? config_base : 0);
+            continue;
+        }
+        store_items_add(items, key, removed ? NULL : item->bytes,
+                        removed ? 0 : item->count, revision);
+    }
+    return items;
+}
+
+GPtrArray *
+directory_gateway_addresses(const struct directory *directory)
+{
+    GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, directory->items);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const struct directory_item *item = value;
+
+        if (item->bytes != NULL &&
+            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY) {
+            g_ptr_array_add(addresses,
+                            g_strndup((const char *)item->bytes, item->count));
+        }
+    }
+    return addresses;
+}
+
+uint32_t
+directory_gateway_capacity(const struct directory *directory,
+                           const char *address)
+{
+    char *key = platform_store_capacity_key(address);
+    const struct directory_item *item =
+        g_hash_table_lookup(directory->items, key);
+    guint64 capacity = 0;
+
+    g_free(key);
+    if (item == NULL || item->bytes == NULL ||
+        !g_ascii_string_to_unsigned((const char *)item->bytes, DECIMAL, 0,
+                                    FOLLOWERS_MAX_CAPACITY, &capacity, NULL)) {
+        return 0;
+    }
+    return (uint32_t)capacity;
+}
--- /dev/null
+++ b/gateway/directory_state.h
@@ -0,0 +1,52 @@
+#ifndef GATEWAY_DIRECTORY_STATE_H
+#define GATEWAY_DIRECTORY_STATE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/era_change.h"
+#include "gateway/directory.h"
+
+/* The state of a directory, for the files that implement it: directory.c
+   applies items, directory_changes.c reads them for other gateways. */
+
+struct directory_item {
+    bool present;
+    uint8_t *bytes; /* NULL: removed, or in the config_copy */
+    size_t count;
+    uint64_t revision;
+    /* Revision of a delayed removal, after which the item is still in use;
+       0: none. */
+    uint64_t removal_revision;
+    bool looked_up; /* evacuations: whether the data centre is known */
+    /* Endpoints: what was known before the era goes on, since the registration
+       may be an old one of the store's copy. */
+    bool held;
+};
+
+struct directory {
+    struct endpoints *endpoints;
+    struct directory_handlers handlers;
+    void *data;
+    GHashTable *items; /* key to struct directory_item */
+    struct catalog *catalog;
+    struct config_copy *config;
+    bool config_failed; /* its patches; the copy lacks the newest one */
+    uint64_t revision;
+    struct era_change era;
+    uint64_t confirmed_ms;        /* 0: never */
+    char *source;                 /* of the last confirmation; NULL: none */
+    uint64_t config_confirmed_ms; /* of the configuration in force */
+    uint64_t now_ms;              /* of the call in progress */
+    bool store_reachable;
+    uint64_t recovered_ms;     /* end of the store's last outage; 0: none */
+    uint64_t ticked_ms;        /* 0: not yet */
+    uint64_t resumed_ms;       /* end of the last suspension, or start */
+    bool has_delayed_removals; /* some item may have a removal_revision */
+    bool has_held;             /* some item may be held */
+    bool has_new_evacuations;  /* whose data centre was not looked up yet */
+};
+
+#endif
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -13,6 +13,7 @@
 #include "core/placement.h"
 #include "core/request_digest.h"
 #include "core/stream_latency.h"
+#include "core/store_revision.h"
 #include "gateway/assignment.h"
 #include "gateway/callers.h"
 #include "gateway/crash_monitor.h"
@@ -436,12 +437,12 @@
 
     LOG_INFO("request is not admitted",
              "id=%s status=%u why=\"%s\" version=%" G_GUINT64_FORMAT
-             " config_age_ms=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+             " config_age_ms=%" G_GUINT64_FORMAT " revision=%s"
              " age_ms=%" G_GUINT64_FORMAT " confirmed_by=%s",
              forward_id(forward), status, why,
              forward->catalog != NULL ? catalog_version(forward->catalog) : 0,
              directory_config_age_ms(directory, now_ms),
-             directory_revision(directory),
+             store_revision_text(directory_revision(directory)).text,
              directory_age_ms(directory, now_ms), directory_source(directory));
 }
 
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -12,6 +12,7 @@
 #include "core/followers.h"
 #include "core/message.h"
 #include "core/regions.h"
+#include "core/store_revision.h"
 #include "gateway/callers.h"
 #include "gateway/config_copy.h"
 #include "gateway/crash_monitor.h"
@@ -114,6 +115,7 @@
     struct gateway *gateway = data;
     const struct catalog *catalog = directory_catalog(gateway->directory);
     uint64_t age_ms = directory_age_ms(gateway->directory, loop_clock_ms());
+    uint64_t revision = directory_revision(gateway->directory);
 
     gateway_counters_print(out);
     g_string_append_printf(
@@ -126,7 +128,9 @@
         "dandelionfork_gateway_config_version %" PRIu64 "\n"
         "dandelionfork_gateway_store_age_ms %" PRIu64 "\n"
         "dandelionfork_gateway_config_age_ms %" PRIu64 "\n"
+        "dandelionfork_gateway_store_era %" PRIu64 "\n"
         "dandelionfork_gateway_store_revision %" PRIu64 "\n"
+        "dandelionfork_gateway_era_changes_total %u\n"
         "dandelionfork_gateway_watch_gaps_total %" PRIu64 "\n"
         "dandelionfork_gateway_quarantined_parts %u\n"
         "dandelionfork_gateway_limited_endpoints %u\n"
@@ -145,7 +149,8 @@
         peers_count(gateway->peers),
         catalog != NULL ? catalog_version(catalog) : 0, age_ms,
         directory_config_age_ms(gateway->directory, loop_clock_ms()),
-        directory_revision(gateway->directory),
+        store_revision_era(revision), store_revision_number(revision),
+        directory_era_changes(gateway->directory),
         store_follow_watch_gaps(gateway->follow),
         crash_monitor_count(gateway->crashes),
         endpoints_limited(gateway->endpoints),
@@ -358,9 +363,10 @@
         directory_set_store_reachable(gateway->directory, false);
     }
     LOG_INFO(role.active ? "follows the store" : "leaves the store to others",
-             "revision=%" PRIu64 " age_ms=%" PRIu64 " rank=%u gateways=%u",
-             role.revision, directory_age_ms(gateway->directory, boot_ms),
-             rank, peers_count(gateway->peers));
+             "revision=%s age_ms=%" PRIu64 " rank=%u gateways=%u",
+             store_revision_text(role.revision).text,
+             directory_age_ms(gateway->directory, boot_ms), rank,
+             peers_count(gateway->peers));
 }
 
 /* What is held for no caller in particular counts with the responses. */
@@ -604,7 +610,7 @@
     gateway->identity.instance = gateway->settings.gateway.instance;
     gateway->identity.data_centre = gateway->settings.gateway.data_centre;
     gateway->identity.incarnation = process_new_incarnation();
-    gateway->identity.generation = MESSAGE_PEER_CHANGES;
+    gateway->identity.generation = MESSAGE_PEER_CHANGES | MESSAGE_PEER_ERAS;
     gateway->loop = loop_create();
     if (gateway->loop == NULL ||
         !process_drain_on_signals(gateway->loop, &drain, gateway) ||
--- a/gateway/peer_changes.c
+++ b/gateway/peer_changes.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "core/message.h"
+#include "core/store_revision.h"
 #include "gateway/directory.h"
 #include "io/link.h"
 #include "io/log.h"
@@ -59,14 +60,15 @@
                    const struct message *request)
 {
     bool parts = request->type == MESSAGE_CHANGES_ASK;
-    struct store_items *items = directory_items_since(
-        directory, request->since, parts ? request->revision : 0);
+    uint64_t since = directory_since(directory, request->since);
+    struct store_items *items =
+        directory_items_since(directory, since, parts ? request->revision : 0);
     GByteArray *data = g_byte_array_new();
     struct message message = {
         .type = MESSAGE_SNAPSHOT,
         .stamp_ms = request->stamp_ms,
         .revision = items->revision,
-        .since = request->since,
+        .since = since,
         .age_ms = directory_age_ms(directory, loop_clock_ms())};
 
     store_items_encode(items, data);
@@ -80,8 +82,8 @@
     }
     else {
         LOG_INFO("a gateway of an earlier build has to ask the store itself",
-                 "bytes=%u since=%" G_GUINT64_FORMAT, data->len,
-                 request->since);
+                 "bytes=%u since=%s", data->len,
+                 store_revision_text(since).text);
     }
     g_byte_array_unref(data);
     store_items_destroy(items);
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -13,6 +13,7 @@
 #include "core/message.h"
 #include "core/peer_load.h"
 #include "core/rendezvous.h"
+#include "core/store_revision.h"
 #include "gateway/directory.h"
 #include "gateway/peer_changes.h"
 #include "io/link.h"
@@ -61,6 +62,7 @@
     struct peers *peers;
     struct link *link;
     char *instance;
+    uint64_t features; /* of the gateway's hello, see core/message.h */
     uint64_t received_ms;
     /* A request for changes that waits until the copy is complete, or NULL. */
     struct message *request;
@@ -254,6 +256,11 @@
             MAX(peers->confirmed_ms, message_confirmed_ms(message));
         return;
     }
+    /* A copy of an earlier era has nothing that this one lacks. */
+    if (store_revision_era(message->revision) <
+        store_revision_era(directory_revision(peers->directory))) {
+        return;
+    }
     if ((!directory_lacks_config(peers->directory) &&
          directory_follows_store(peers->directory, loop_clock_ms(),
                                  STORE_FRESH_MS)) ||
@@ -280,10 +287,9 @@
         return;
     }
     LOG_INFO("knowledge of the store taken from a peer",
-             "address=%s since=%" G_GUINT64_FORMAT
-             " revision=%" G_GUINT64_FORMAT " age_ms=%" G_GUINT64_FORMAT,
-             peer->address, message->since, message->revision,
-             message->age_ms);
+             "address=%s since=%s revision=%s age_ms=%" G_GUINT64_FORMAT,
+             peer->address, store_revision_text(message->since).text,
+             store_revision_text(message->revision).text, message->age_ms);
     directory_apply(peers->directory, items, message->since == 0,
                     message_confirmed_ms(message), peer->address,
                     loop_clock_ms());
@@ -495,6 +501,18 @@
 
 /* Links that other gateways opened. */
 
+/* Whether the copy's revision means something to the other gateway. Builds
+   that don't know eras have to follow the store themselves if it tells its
+   era. */
+static bool
+may_share(const struct inbound *inbound)
+{
+    uint64_t revision = directory_revision(inbound->peers->directory);
+
+    return store_revision_era(revision) == 0 ||
+           (inbound->features & MESSAGE_PEER_ERAS) != 0;
+}
+
 static void
 send_state(struct inbound *inbound, const struct message *request)
 {
@@ -503,7 +521,9 @@
         .type = MESSAGE_PEER_STATE,
         .stamp_ms = request->stamp_ms,
         .revision = directory_revision(directory),
-        .age_ms = directory_age_ms(directory, loop_clock_ms())};
+        .age_ms = may_share(inbound)
+                      ? directory_age_ms(directory, loop_clock_ms())
+                      : UINT64_MAX};
 
     link_send(inbound->link, &message);
 }
@@ -515,6 +535,9 @@
 {
     struct directory *directory = inbound->peers->directory;
 
+    if (!may_share(inbound)) {
+        return;
+    }
     if (directory_may_send(directory)) {
         peer_changes_reply(inbound->link, directory, request);
         return;
@@ -557,6 +580,7 @@
 
     (void)link;
     inbound->instance = g_strdup(hello->instance);
+    inbound->features = hello->generation;
     inbound->received_ms = loop_now_ms(inbound->peers->loop);
 }
 
--- a/io/http_call.c
+++ b/io/http_call.c
@@ -36,7 +36,7 @@
     uint32_t connect_timeout_ms;
     uint32_t read_timeout_ms;
     uint32_t total_timeout_ms;
-    uint64_t index;
+    uint64_t number;   /* of the last response; see http_session_number() */
     struct call *call; /* NULL: none is in progress */
 };
 
@@ -117,15 +117,16 @@
     struct http_session *session = data;
     struct call *call = session->call;
     const char *content_type = http_head_value(head, "Content-Type");
-    const char *index = http_head_value(head, "X-Consul-Index");
+    const char *name = call->request->number_header;
+    const char *number = name != NULL ? http_head_value(head, name) : NULL;
 
     if (!check_echo(call, head)) {
         end_call(session, false, HTTP_ERROR_NO_RESPONSE,
                  "answer to another request");
         return;
     }
-    session->index =
-        index != NULL ? g_ascii_strtoull(index, NULL, DECIMAL) : 0;
+    session->number =
+        number != NULL ? g_ascii_strtoull(number, NULL, DECIMAL) : 0;
     if (!call->handlers->head(call->context, head->status,
                               content_type != NULL ? content_type : "")) {
         end_call(session, false, HTTP_ERROR_NO_RESPONSE, "stopped");
@@ -238,9 +239,9 @@
 }
 
 uint64_t
-http_session_index(const struct http_session *session)
+http_session_number(const struct http_session *session)
 {
-    return session->index;
+    return session->number;
 }
 
 /* Calls. */
@@ -331,6 +332,7 @@
     bool reused;
 
     session->call = &call;
+    session->number = 0;
     if (session->connection != NULL &&
         http_connection_is_stale(session->connection)) {
         close_connection(session);
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -35,6 +35,8 @@
        another request, and fails the call. Only a connection whose responses
        have it is kept, since a late copy of one can't be told otherwise. */
     const struct http_header *echoed;
+    /* Response header to keep for http_session_number(), or NULL. */
+    const char *number_header;
 };
 
 /* Called with the head of a response, then with each block of its body. If a
@@ -72,7 +74,8 @@
                          const struct http_request *request, GByteArray *body,
                          size_t max_bytes, GError **error);
 
-/* Returns the X-Consul-Index header of the last response, 0 if it had none. */
-uint64_t http_session_index(const struct http_session *session);
+/* Returns the request's number_header of the last response, 0 if it had none.
+ */
+uint64_t http_session_number(const struct http_session *session);
 
 #endif
--- a/io/store.c
+++ b/io/store.c
@@ -21,12 +21,16 @@
     HTTP_NOT_FOUND = 404,
 };
 
+/* Modification index of a list of instances. */
+#define INDEX_HEADER "X-Consul-Index"
+
 struct store {
     struct http_session *reads;
     struct http_session *watches;
     struct http_session *writes; /* without reuse, so that nothing is resent */
     uint32_t connect_s;
     uint32_t read_margin_s;
+    uint64_t number; /* see store_number() */
 };
 
 static _Atomic uint64_t calls_made;
@@ -111,7 +115,8 @@
                                    .path = call->path,
                                    .content_type = call->content_type,
                                    .body = call->bytes,
-                                   .body_bytes = call->count};
+                                   .body_bytes = call->count,
+                                   .number_header = call->number_header};
     struct http_session *session = call_session(store, call);
     uint32_t wait_s = call->wait_ms / MS_PER_S;
     GError *failure = NULL;
@@ -123,6 +128,7 @@
         wait_s + store->read_margin_s * MAX_MARGINS_PER_CALL);
     status = http_call_fetch(session, &request, response, MAX_RESPONSE_BYTES,
                              &failure);
+    store->number = http_session_number(session);
     if (failure != NULL) {
         g_set_error(error, store_error_quark(), error_code(failure), "%s",
                     failure->message);
@@ -132,6 +138,12 @@
     return status;
 }
 
+uint64_t
+store_number(const struct store *store)
+{
+    return store->number;
+}
+
 static uint32_t
 call_service(struct store *store, const struct store_call *request,
              GByteArray *response, GError **error)
@@ -301,17 +313,18 @@
         after_index, wait_ms);
     json_t *json = NULL;
     bool ok = false;
-    struct http_session *session = read_session(store, wait_ms);
     uint32_t status =
         call_service(store,
-                     &(struct store_call){
-                         .method = "GET", .path = path, .wait_ms = wait_ms},
+                     &(struct store_call){.method = "GET",
+                                          .path = path,
+                                          .wait_ms = wait_ms,
+                                          .number_header = INDEX_HEADER},
                      response, error);
 
     if (status == HTTP_OK &&
         (json = parse_response(response, error)) != NULL) {
         decode_members(json, list, count);
-        *index = http_session_index(session);
+        *index = store_number(store);
         ok = true;
     }
     else if (status == HTTP_NOT_FOUND) {
--- a/io/store.h
+++ b/io/store.h
@@ -48,6 +48,7 @@
     const char *bytes;        /* body */
     size_t count;             /* of bytes; 0: no body */
     uint32_t wait_ms;         /* how long the service may delay its response */
+    const char *number_header; /* for store_number(), or NULL */
 };
 
 struct store *store_create(const char *ip, uint16_t port);
@@ -63,6 +64,10 @@
                     struct _GByteArray *response, GError **error);
 void store_destroy(struct store *store);
 
+/* Returns the number_header of the last call's response, whatever its status;
+   0: the response, if there was one, had none. */
+uint64_t store_number(const struct store *store);
+
 /* Reads a key; a missing key is not an error. If wait_ms is not 0, the call
    waits up to wait_ms until the key's index differs from after_index. Free
    the value with store_value_clear(). */
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -4,8 +4,10 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
+#include "core/store_revision.h"
 #include "io/log.h"
 #include "io/loop.h"
 #include "io/store.h"
@@ -28,6 +30,8 @@
     BATCH_DELAY_MS = 150,
     RENEWALS_PER_TTL = 4,
     US_PER_MS = 1000,
+    NS_PER_MS = 1000000,
+    NS_PER_S = 1000000000,
 };
 
 struct store_follow {
@@ -38,10 +42,13 @@
     bool reachable;
     bool reachability_reported; /* false: the next result is reported */
     bool registered;            /* used by the registration thread only */
+    uint64_t lease_era;         /* of the registration's lease; likewise */
     _Atomic bool deregistering;
     _Atomic uint64_t watch_gaps;
+    _Atomic uint64_t era;  /* the latest one that a response told; 0: none */
     pthread_mutex_t mutex; /* guards the fields below */
     pthread_cond_t became_active;
+    pthread_cond_t era_changed; /* of the monotonic clock */
     struct store_follow_role role;
 };
 
@@ -125,6 +132,41 @@
     return store;
 }
 
+/* The era of the store's last response, or the one known if it told none. */
+static uint64_t
+last_era(const struct store_follow *follow, const struct store *store)
+{
+    uint64_t era = follow->settings.ops->era != NULL
+                       ? follow->settings.ops->era(store)
+                       : 0;
+
+    return era != 0 ? era : atomic_load(&follow->era);
+}
+
+/* Notes the era of the store's last response, on any of the threads. A new era
+   makes the registration thread register again: the lease is gone, or its
+   number may be another process's. */
+static void
+observe_era(struct store_follow *follow, const struct store *store)
+{
+    uint64_t era = last_era(follow, store);
+    uint64_t known;
+
+    pthread_mutex_lock(&follow->mutex);
+    known = atomic_load(&follow->era);
+    if (era > known) {
+        atomic_store(&follow->era, era);
+        pthread_cond_signal(&follow->era_changed);
+    }
+    pthread_mutex_unlock(&follow->mutex);
+    if (known != 0 && era > known) {
+        LOG_WARN("the store is in another era, it has come back from an older "
+                 "copy",
+                 "era=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT, era,
+                 known);
+    }
+}
+
 /* Lists all items. Returns the revision to watch from, 0 on failure. */
 static uint64_t
 list_all(struct store_follow *follow, struct store *store)
@@ -135,12 +177,18 @@
         follow->settings.ops->list(store, follow->settings.prefix, &error);
     uint64_t revision;
 
+    observe_era(follow, store);
     if (items == NULL) {
         report_reachability(follow, false, error->message);
         g_error_free(error);
         return 0;
     }
     revision = items->revision;
+    if (store_revision_era(revision) < atomic_load(&follow->era)) {
+        report_reachability(follow, false, "a list of an earlier era");
+        store_items_destroy(items);
+        return 0;
+    }
     post_items(follow, items, true, asked_ms);
     report_reachability(follow, true, "");
     return revision;
@@ -197,9 +245,10 @@
     atomic_fetch_add(&follow->watch_gaps, 1);
     LOG_WARN("a watch lacks changes up to its revision, all items are listed "
              "again",
-             "after=%" G_GUINT64_FORMAT " changes=%u"
-             " newest=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT,
-             after_revision, changes->list->len, newest, changes->revision);
+             "after=%s changes=%u newest=%s revision=%s",
+             store_revision_text(after_revision).text, changes->list->len,
+             store_revision_text(newest).text,
+             store_revision_text(changes->revision).text);
     return false;
 }
 
@@ -235,6 +284,7 @@
     enum store_watch_result result = follow->settings.ops->watch(
         store, follow->settings.prefix, revision, wait_ms, &changes, &error);
 
+    observe_era(follow, store);
     *failed = result == STORE_WATCH_FAILED;
     *changed = false;
     switch (result) {
@@ -248,13 +298,15 @@
         }
         return revision;
     case STORE_WATCH_COMPACTED:
-        LOG_INFO("history is gone, all items are listed again",
-                 "revision=%" G_GUINT64_FORMAT, revision);
+        LOG_INFO("history is gone, all items are listed again", "revision=%s",
+                 store_revision_text(revision).text);
         return 0;
     case STORE_WATCH_TOO_LONG:
         /* A list has only the newest version of each item. */
-        LOG_INFO("too many changes, all items are listed again",
-                 "revision=%" G_GUINT64_FORMAT, revision);
+        LOG_INFO("too many changes, all items are listed again", "revision=%s",
+                 store_revision_text(revision).text);
+        return 0;
+    case STORE_WATCH_NEW_ERA:
         return 0;
     case STORE_WATCH_FAILED:
         report_reachability(follow, false, error->message);
@@ -377,11 +429,17 @@
     bool ended = false;
     bool kept = true;
 
+    if (atomic_load(&follow->era) != follow->lease_era) {
+        *lease = 0;
+    }
     if (*lease == 0) {
         kept = register_process(follow, store, lease, &error);
+        observe_era(follow, store);
+        follow->lease_era = last_era(follow, store);
     }
     else {
         kept = settings->ops->renew_lease(store, *lease, &ended, &error);
+        observe_era(follow, store);
     }
     if (ended) {
         LOG_WARN("lease has ended, a new one is taken",
@@ -390,7 +448,29 @@
     }
     report_registered(follow, kept, error);
     g_clear_error(&error);
-    return kept && !ended;
+    return kept && !ended && atomic_load(&follow->era) == follow->lease_era;
+}
+
+/* Waits for the next renewal, or until the store is in another era than the
+   lease. */
+static void
+wait_for_renewal(struct store_follow *follow)
+{
+    uint64_t wait_ms = follow->settings.registration_ttl_ms / RENEWALS_PER_TTL;
+    struct timespec until;
+    uint64_t ns;
+    int result = 0;
+
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    ns = (uint64_t)until.tv_nsec + wait_ms * NS_PER_MS;
+    until.tv_sec += (time_t)(ns / NS_PER_S);
+    until.tv_nsec = (long)(ns % NS_PER_S);
+    pthread_mutex_lock(&follow->mutex);
+    while (result == 0 && atomic_load(&follow->era) == follow->lease_era) {
+        result = pthread_cond_timedwait(&follow->era_changed, &follow->mutex,
+                                        &until);
+    }
+    pthread_mutex_unlock(&follow->mutex);
 }
 
 static void *
@@ -408,8 +488,7 @@
             continue;
         }
         backoff_ms = MIN_BACKOFF_MS;
-        usleep(follow->settings.registration_ttl_ms / RENEWALS_PER_TTL *
-               US_PER_MS);
+        wait_for_renewal(follow);
     }
     if (!follow->settings.ops->remove(store, follow->settings.registration_key,
                                       &error)) {
@@ -438,6 +517,7 @@
                     const struct store_follow_handlers *handlers, void *data)
 {
     struct store_follow *follow = g_new0(struct store_follow, 1);
+    pthread_condattr_t monotonic;
 
     follow->loop = loop;
     follow->settings = *settings;
@@ -452,6 +532,10 @@
     follow->data = data;
     pthread_mutex_init(&follow->mutex, NULL);
     pthread_cond_init(&follow->became_active, NULL);
+    pthread_condattr_init(&monotonic);
+    pthread_condattr_setclock(&monotonic, CLOCK_MONOTONIC);
+    pthread_cond_init(&follow->era_changed, &monotonic);
+    pthread_condattr_destroy(&monotonic);
     follow->role =
         (struct store_follow_role){.active = true, .follower_count = 1};
     start_thread(run_watch, follow);
@@ -473,6 +557,12 @@
     pthread_mutex_unlock(&follow->mutex);
 }
 
+uint64_t
+store_follow_era(const struct store_follow *follow)
+{
+    return atomic_load(&follow->era);
+}
+
 uint64_t
 store_follow_watch_gaps(const struct store_follow *follow)
 {
--- a/io/store_follow.h
+++ b/io/store_follow.h
@@ -67,6 +67,9 @@
 void store_follow_set_role(struct store_follow *follow,
                            const struct store_follow_role *role);
 
+/* The latest era of the store that a response told, 0: none. */
+uint64_t store_follow_era(const struct store_follow *follow);
+
 /* Number of watches whose changes did not reach up to their revision. */
 uint64_t store_follow_watch_gaps(const struct store_follow *follow);
 
--- a/io/store_items.h
+++ b/io/store_items.h
@@ -13,6 +13,7 @@
 
 struct store;
 
+/* Revisions are those of core/store_revision.h. */
 struct store_item {
     char *key;
     uint8_t *bytes;    /* NUL-terminated; NULL if the item was removed */
@@ -49,6 +50,7 @@
     STORE_WATCH_CHANGES,   /* *changes is set; its list may be empty */
     STORE_WATCH_COMPACTED, /* the store no longer has these revisions */
     STORE_WATCH_TOO_LONG,  /* the changes don't fit a response */
+    STORE_WATCH_NEW_ERA,   /* the store is in a later era than the revision */
     STORE_WATCH_FAILED,    /* the error is set */
 };
 
@@ -75,6 +77,9 @@
     bool (*put)(struct store *store, const char *key, const char *bytes,
                 size_t count, uint64_t lease, GError **error);
     bool (*remove)(struct store *store, const char *key, GError **error);
+    /* The era that the last response told, also that of a failed call; 0: it
+       told none. NULL: the store has no eras. */
+    uint64_t (*era)(const struct store *store);
 };
 
 #endif
--- /dev/null
+++ b/tests/unit/test_directory_eras.c
@@ -0,0 +1,250 @@
+/* Tests a gateway's copy of a store that comes back from an older copy of
+   itself, in virtual time. The store was at revision 1.20 and is back at 2.12
+   at 1000 ms, without what it had acknowledged since 1.10. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "core/catalog.h"
+#include "core/endpoints.h"
+#include "core/store_revision.h"
+#include "gateway/config_copy.h"
+#include "gateway/directory.h"
+#include "io/store_items.h"
+
+enum {
+    BACK_MS = 1000,
+    COMPLETE_MS = BACK_MS + 2500,
+    HELD_MS = BACK_MS + 4000,
+};
+
+struct fixture {
+    struct endpoints *endpoints;
+    struct directory *directory;
+};
+
+static void
+ignore_catalog(void *data, struct catalog *catalog)
+{
+    (void)data;
+    (void)catalog;
+}
+
+static void
+ignore_gateways(void *data)
+{
+    (void)data;
+}
+
+static struct fixture
+create_fixture(void)
+{
+    static const struct directory_handlers handlers = {
+        .catalog_changed = ignore_catalog,
+        .gateways_changed = ignore_gateways};
+    static const struct config_copy_settings settings = {.loop = NULL};
+    struct fixture fixture = {.endpoints = endpoints_create()};
+
+    fixture.directory =
+        directory_create(fixture.endpoints, &settings, &handlers, NULL);
+    return fixture;
+}
+
+static void
+destroy_fixture(struct fixture *fixture)
+{
+    directory_destroy(fixture->directory);
+    endpoints_destroy(fixture->endpoints);
+}
+
+/* An item of a list or of changes; the last one has key NULL. */
+struct row {
+    const char *key;
+    const char *value; /* NULL: removed */
+    uint64_t number;   /* of the revision */
+};
+
+static void
+apply(struct fixture *fixture, uint64_t era, uint64_t number, bool full,
+      const struct row *rows, uint64_t now_ms)
+{
+    struct store_items *items = store_items_create();
+
+    for (; rows->key != NULL; rows++) {
+        store_items_add(items, rows->key, (const uint8_t *)rows->value,
+                        rows->value != NULL ? strlen(rows->value) : 0,
+                        store_revision_make(era, rows->number));
+    }
+    items->revision = store_revision_make(era, number);
+    directory_apply(fixture->directory, items, full, now_ms, "store", now_ms);
+    store_items_destroy(items);
+}
+
+#define ENTRY(state)                                                          \
+    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"here\","      \
+    "\"version\":\"v1\",\"slots\":4,\"state\":\"" state "\","                 \
+    "\"cold_remaining_ms\":0,\"sequence\":1}"
+
+/* What was known before, at 1.20. */
+static void
+apply_before(struct fixture *fixture)
+{
+    static const struct row rows[] = {
+        {"op/config", "{\"version\":7}", 15},
+        {"op/evacuate/there", "{}", 16},
+        {"servers/leaving", ENTRY("draining"), 17},
+        {"servers/new", ENTRY("ready"), 18},
+        {"servers/steady", ENTRY("ready"), 5},
+        {NULL, NULL, 0},
+    };
+    static const struct row changes[] = {
+        {"servers/gone", ENTRY("ready"), 19},
+        {"servers/gone", NULL, 20},
+        {NULL, NULL, 0},
+    };
+
+    apply(fixture, 1, 18, true, rows, 100);
+    apply(fixture, 1, 20, false, changes, 900);
+}
+
+/* What the copy brings back. */
+static void
+apply_copy(struct fixture *fixture)
+{
+    static const struct row rows[] = {
+        {"op/config", "{\"version\":5}", 8},
+        {"servers/gone", ENTRY("ready"), 6},
+        {"servers/leaving", ENTRY("ready"), 7},
+        {"servers/other", ENTRY("ready"), 12},
+        {"servers/steady", ENTRY("ready"), 5},
+        {NULL, NULL, 0},
+    };
+
+    apply(fixture, 2, 12, true, rows, BACK_MS);
+}
+
+static bool
+is_usable(const struct fixture *fixture, const char *id)
+{
+    const struct endpoint *endpoint = endpoints_find(fixture->endpoints, id);
+
+    return endpoint != NULL && !endpoint->draining;
+}
+
+/* A configuration that was in force must not be undone by an older one, and a
+   lower revision of the new era must not be ignored. */
+static void
+test_configuration(void)
+{
+    static const struct row again[] = {{"op/config", "{\"version\":9}", 13},
+                                       {NULL, NULL, 0}};
+    struct fixture fixture = create_fixture();
+
+    apply_before(&fixture);
+    apply_copy(&fixture);
+    g_assert_cmpuint(catalog_version(directory_catalog(fixture.directory)), ==,
+                     7);
+    g_assert_cmpuint(directory_era_changes(fixture.directory), ==, 1);
+    apply(&fixture, 2, 13, false, again, BACK_MS + 200);
+    g_assert_cmpuint(catalog_version(directory_catalog(fixture.directory)), ==,
+                     9);
+    destroy_fixture(&fixture);
+}
+
+/* What was acknowledged shortly before may be missing until it is written
+   again: a removed key must not count as checked meanwhile. */
+static void
+test_age(void)
+{
+    static const struct row none[] = {{NULL, NULL, 0}};
+    struct fixture fixture = create_fixture();
+
+    apply_before(&fixture);
+    apply_copy(&fixture);
+    apply(&fixture, 2, 12, false, none, COMPLETE_MS - 1);
+    g_assert_cmpuint(directory_age_ms(fixture.directory, COMPLETE_MS), ==,
+                     COMPLETE_MS - 900);
+    g_assert_cmpuint(directory_config_age_ms(fixture.directory, COMPLETE_MS),
+                     ==, COMPLETE_MS - 900);
+    apply(&fixture, 2, 12, false, none, COMPLETE_MS);
+    g_assert_cmpuint(directory_config_age_ms(fixture.directory, COMPLETE_MS),
+                     ==, 0);
+    destroy_fixture(&fixture);
+}
+
+/* An endpoint that was leaving or gone must not get requests because the copy
+   has its old registration, and one that the copy lacks must not be lost. */
+static void
+test_endpoints(void)
+{
+    static const struct row again[] = {{"servers/gone", ENTRY("ready"), 13},
+                                       {NULL, NULL, 0}};
+    struct fixture fixture = create_fixture();
+
+    apply_before(&fixture);
+    apply_copy(&fixture);
+    g_assert_false(is_usable(&fixture, "leaving"));
+    g_assert_false(is_usable(&fixture, "gone"));
+    g_assert_true(is_usable(&fixture, "new"));
+    g_assert_true(is_usable(&fixture, "other"));
+    g_assert_true(is_usable(&fixture, "steady"));
+    g_assert_cmpuint(endpoints_evacuated_count(fixture.endpoints), ==, 1);
+    directory_tick(fixture.directory, COMPLETE_MS - 1);
+    g_assert_true(is_usable(&fixture, "new"));
+    g_assert_cmpuint(endpoints_evacuated_count(fixture.endpoints), ==, 1);
+    /* Its own entry of this era. */
+    apply(&fixture, 2, 13, false, again, COMPLETE_MS - 1);
+    g_assert_true(is_usable(&fixture, "gone"));
+    directory_tick(fixture.directory, COMPLETE_MS);
+    g_assert_false(is_usable(&fixture, "new"));
+    g_assert_cmpuint(endpoints_evacuated_count(fixture.endpoints), ==, 0);
+    g_assert_false(is_usable(&fixture, "leaving"));
+    directory_tick(fixture.directory, HELD_MS - 1);
+    g_assert_false(is_usable(&fixture, "leaving"));
+    directory_tick(fixture.directory, HELD_MS);
+    g_assert_true(is_usable(&fixture, "leaving"));
+    destroy_fixture(&fixture);
+}
+
+/* Copies of different eras must not confirm each other, whatever their numbers
+   are, and changes since a revision of another era may lack items. */
+static void
+test_other_gateways(void)
+{
+    static const struct row changes[] = {{"servers/other", ENTRY("ready"), 30},
+                                         {NULL, NULL, 0}};
+    struct fixture fixture = create_fixture();
+    const struct directory *directory = fixture.directory;
+
+    apply_before(&fixture);
+    g_assert_false(directory_confirm(
+        fixture.directory, store_revision_make(2, 12), 950, "peer", 950));
+    apply(&fixture, 2, 30, false, changes, 950);
+    g_assert_false(is_usable(&fixture, "other"));
+    apply_copy(&fixture);
+    g_assert_false(directory_confirm(fixture.directory,
+                                     store_revision_make(1, 20), COMPLETE_MS,
+                                     "peer", COMPLETE_MS));
+    g_assert_true(directory_confirm(fixture.directory,
+                                    store_revision_make(2, 12), COMPLETE_MS,
+                                    "peer", COMPLETE_MS));
+    apply(&fixture, 1, 21, true, changes, COMPLETE_MS);
+    g_assert_cmpuint(directory_revision(directory), ==,
+                     store_revision_make(2, 12));
+    g_assert_cmpuint(directory_since(directory, store_revision_make(1, 20)),
+                     ==, 0);
+    g_assert_cmpuint(directory_since(directory, store_revision_make(2, 12)),
+                     ==, store_revision_make(2, 12));
+    destroy_fixture(&fixture);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/directory-eras/configuration", test_configuration);
+    g_test_add_func("/directory-eras/age", test_age);
+    g_test_add_func("/directory-eras/endpoints", test_endpoints);
+    g_test_add_func("/directory-eras/other-gateways", test_other_gateways);
+    return g_test_run();
+}
