Admission: 401 and 404 within the deployment's bound on changes only

A miss was final up to an age of 2,500 ms.

Cause: one constant for all deployments, above the shortest bound. Change: setting [bounds] config_apply, from the platform's settings; a miss is final only while the configuration is younger than that, less 100 ms, and up to 2,500 ms as before. Otherwise 503 with a retry time.

--- a/core/admission.c
+++ b/core/admission.c
@@ -10,9 +10,11 @@
        request and for clock differences. */
     REVOKE_MARGIN_MS = 600,
     /* An older configuration may lack new routes and keys, so that a miss is
-       answered with a retry time and is not final. A new configuration must be
-       in force two seconds after it was accepted. */
+       answered with a retry time and is not final. */
     STALE_CONFIG_MS = 2500,
+    /* Part of the bound on changes by which the caller's request may be older
+       than its decision, for rounding and the time of the acknowledgement. */
+    APPLY_MARGIN_MS = 100,
 };
 
 bool
@@ -23,12 +25,16 @@
            age_ms + REVOKE_MARGIN_MS <= settings->revoke_ms;
 }
 
-/* Result for an unknown route or key: final only if the configuration is
-   recent. */
+/* Result for an unknown route or key: final only if a version that has it and
+   that has to be in force by now would be known. */
 static enum admission
-missing_result(uint64_t age_ms, enum admission final)
+missing_result(const struct admission_settings *settings, uint64_t age_ms,
+               enum admission final)
 {
-    return age_ms > STALE_CONFIG_MS ? ADMISSION_UNAVAILABLE : final;
+    return age_ms > STALE_CONFIG_MS ||
+                   age_ms + APPLY_MARGIN_MS > settings->apply_ms
+               ? ADMISSION_UNAVAILABLE
+               : final;
 }
 
 static enum admission
@@ -49,7 +55,7 @@
         return ADMISSION_ACCEPTED;
     }
     *why = "unknown key";
-    return missing_result(age_ms, ADMISSION_UNKNOWN_KEY);
+    return missing_result(settings, age_ms, ADMISSION_UNKNOWN_KEY);
 }
 
 static enum admission
@@ -71,7 +77,7 @@
     }
     if (admitted->route == NULL) {
         *why = "no such route";
-        return missing_result(age_ms, ADMISSION_NO_ROUTE);
+        return missing_result(settings, age_ms, ADMISSION_NO_ROUTE);
     }
     result = check_account(settings, catalog, age_ms, account, admitted, why);
     if (result != ADMISSION_ACCEPTED) {
--- a/core/admission.h
+++ b/core/admission.h
@@ -26,6 +26,9 @@
     /* Longest time from an operator's removal of a key until every gateway
        refuses it, even those that can't reach the store. */
     uint32_t revoke_ms;
+    /* Longest time from an operator's change until every gateway that reaches
+       the store has it in force. */
+    uint32_t apply_ms;
 };
 
 struct admitted {
--- a/gateway/gateway_settings.c
+++ b/gateway/gateway_settings.c
@@ -60,6 +60,8 @@
 
 static const struct ini_key bounds_keys[] = {
     {"revoke", INI_DURATION_MS, BOUND(revoke_ms), "5s", 0, DAY_MS, NULL},
+    {"config_apply", INI_DURATION_MS, BOUND(apply_ms), "2s", SECOND_MS, DAY_MS,
+     NULL},
     {"evacuate", INI_DURATION_MS, BOUND(evacuate_ms), "", 0, DAY_MS, NULL},
     {"cold_overage", INI_FRACTION, BOUND(cold_overage_millionths), "1", 0,
      MAX_FACTOR *(uint64_t)INI_FRACTION_ONE, NULL},
--- a/gateway/gateway_settings.h
+++ b/gateway/gateway_settings.h
@@ -53,6 +53,9 @@
     /* Longest time from the removal of an API key until this gateway refuses
        it, even if it can't reach the store. */
     uint64_t revoke_ms;
+    /* Longest time from an operator's change until this gateway has it in
+       force, if it reaches the store. */
+    uint64_t apply_ms;
     /* See struct forwarder_settings; 0: not given. */
     uint64_t evacuate_ms;
     /* See struct cold_bound. */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -255,6 +255,7 @@
         .config_wait_ms = (uint32_t)gateway->settings.gateway.config_wait_ms,
         .max_waiting = (uint32_t)gateway->settings.gateway.max_waiting,
         .admission.revoke_ms = (uint32_t)bounds->revoke_ms,
+        .admission.apply_ms = (uint32_t)bounds->apply_ms,
         .regions = gateway->regions,
         .evacuate_ms = (uint32_t)bounds->evacuate_ms,
         .cold_overage =
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -167,6 +167,7 @@
     const struct forwarder_settings settings = {.instance = "g",
                                                 .data_centre = "here",
                                                 .admission.revoke_ms = 600000,
+                                                .admission.apply_ms = 2000,
                                                 .max_waiting = 256,
                                                 .cold_overage = 1.5,
                                                 .cold_slack = 5.0,
