Admission: no final answer while the newest configuration can't be read

Cause: the age said how recent the copy is and not whether it has all that the newest configuration has. Now a miss needs both (struct admission_config): while the newest one is unread, it is answered with 503. What is known is served as before.

--- a/core/admission.c
+++ b/core/admission.c
@@ -28,25 +28,25 @@
 /* Result for an unknown route or key: final only if a version that has it and
    that has to be in force by now would be known. */
 static enum admission
-missing_result(const struct admission_settings *settings, uint64_t age_ms,
-               enum admission final)
+missing_result(const struct admission_settings *settings,
+               uint64_t complete_age_ms, enum admission final)
 {
-    return age_ms > STALE_CONFIG_MS ||
-                   age_ms + APPLY_MARGIN_MS > settings->apply_ms
+    return complete_age_ms > STALE_CONFIG_MS ||
+                   complete_age_ms + APPLY_MARGIN_MS > settings->apply_ms
                ? ADMISSION_UNAVAILABLE
                : final;
 }
 
 static enum admission
 check_account(const struct admission_settings *settings,
-              const struct catalog *catalog, uint64_t age_ms,
+              const struct admission_config *config,
               const struct catalog_account *account, struct admitted *admitted,
               const char **why)
 {
-    if (admitted->route->is_public || !catalog_has_accounts(catalog)) {
+    if (admitted->route->is_public || !catalog_has_accounts(config->catalog)) {
         return ADMISSION_ACCEPTED;
     }
-    if (!admission_can_check_keys(settings, age_ms)) {
+    if (!admission_can_check_keys(settings, config->age_ms)) {
         *why = "the key may have been removed";
         return ADMISSION_UNAVAILABLE;
     }
@@ -55,12 +55,14 @@
         return ADMISSION_ACCEPTED;
     }
     *why = "unknown key";
-    return missing_result(settings, age_ms, ADMISSION_UNKNOWN_KEY);
+    return missing_result(settings, config->complete_age_ms,
+                          ADMISSION_UNKNOWN_KEY);
 }
 
 static enum admission
-check(const struct admission_settings *settings, const struct catalog *catalog,
-      uint64_t age_ms, const struct catalog_account *account, const char *host,
+check(const struct admission_settings *settings,
+      const struct admission_config *config,
+      const struct catalog_account *account, const char *host,
       const char *target, double draw, struct admitted *admitted,
       const char **why)
 {
@@ -68,22 +70,24 @@
 
     *admitted = (struct admitted){0};
     *why = "";
-    if (catalog == NULL) {
+    if (config->catalog == NULL) {
         *why = "no configuration yet";
         return ADMISSION_UNAVAILABLE;
     }
     if (host != NULL) {
-        admitted->route = catalog_find_route(catalog, host, target);
+        admitted->route = catalog_find_route(config->catalog, host, target);
     }
     if (admitted->route == NULL) {
         *why = "no such route";
-        return missing_result(settings, age_ms, ADMISSION_NO_ROUTE);
+        return missing_result(settings, config->complete_age_ms,
+                              ADMISSION_NO_ROUTE);
     }
-    result = check_account(settings, catalog, age_ms, account, admitted, why);
+    result = check_account(settings, config, account, admitted, why);
     if (result != ADMISSION_ACCEPTED) {
         return result;
     }
-    admitted->service = catalog_pick_service(catalog, admitted->route, draw);
+    admitted->service =
+        catalog_pick_service(config->catalog, admitted->route, draw);
     if (admitted->service == NULL) {
         *why = "the route's service is not known";
         return ADMISSION_UNAVAILABLE;
@@ -93,31 +97,30 @@
 
 enum admission
 admission_check(const struct admission_settings *settings,
-                const struct catalog *catalog, uint64_t age_ms,
+                const struct admission_config *config,
                 const struct request_metadata *request, const char *target,
                 double draw, struct admitted *admitted, const char **why)
 {
     const struct catalog_account *account = NULL;
 
-    if (catalog != NULL && request->key != NULL) {
-        account = catalog_find_account(catalog, request->key);
+    if (config->catalog != NULL && request->key != NULL) {
+        account = catalog_find_account(config->catalog, request->key);
     }
-    return check(settings, catalog, age_ms, account, request->host, target,
-                 draw, admitted, why);
+    return check(settings, config, account, request->host, target, draw,
+                 admitted, why);
 }
 
 enum admission
 admission_check_named(const struct admission_settings *settings,
-                      const struct catalog *catalog, uint64_t age_ms,
+                      const struct admission_config *config,
                       const char *account_name, const char *host,
                       const char *target, double draw,
                       struct admitted *admitted, const char **why)
 {
     const struct catalog_account *account = NULL;
 
-    if (catalog != NULL && account_name != NULL) {
-        account = catalog_find_account_named(catalog, account_name);
+    if (config->catalog != NULL && account_name != NULL) {
+        account = catalog_find_account_named(config->catalog, account_name);
     }
-    return check(settings, catalog, age_ms, account, host, target, draw,
-                 admitted, why);
+    return check(settings, config, account, host, target, draw, admitted, why);
 }
--- a/core/admission.h
+++ b/core/admission.h
@@ -31,19 +31,26 @@
     uint32_t apply_ms;
 };
 
+/* The configuration that a gateway has in force. */
+struct admission_config {
+    const struct catalog *catalog; /* NULL: none has been read yet */
+    uint64_t age_ms; /* since it was last known to be the newest one */
+    /* Since it was last known to have all routes and keys; UINT64_MAX: never,
+       or the newest one can't be read. */
+    uint64_t complete_age_ms;
+};
+
 struct admitted {
     const struct catalog_route *route;
     const struct catalog_account *account; /* NULL: no key needed */
     const struct catalog_service *service;
 };
 
-/* Checks a request for target (path and query). catalog may be NULL, if no
-   configuration has been read yet; age_ms is the time since the configuration
-   was last known to be current. draw, uniform in [0, 1), selects among the
-   services of a route. Fills admitted with pointers into the catalog, and *why
-   with a static text: the reason of a refusal, or "". */
+/* Checks a request for target (path and query). draw, uniform in [0, 1),
+   selects among the services of a route. Fills admitted with pointers into the
+   catalog, and *why with a static text: the reason of a refusal, or "". */
 enum admission admission_check(const struct admission_settings *settings,
-                               const struct catalog *catalog, uint64_t age_ms,
+                               const struct admission_config *config,
                                const struct request_metadata *request,
                                const char *target, double draw,
                                struct admitted *admitted, const char **why);
@@ -51,8 +58,8 @@
 /* The same for a client account that is given by its name instead of a key;
    account_name may be NULL. */
 enum admission admission_check_named(const struct admission_settings *settings,
-                                     const struct catalog *catalog,
-                                     uint64_t age_ms, const char *account_name,
+                                     const struct admission_config *config,
+                                     const char *account_name,
                                      const char *host, const char *target,
                                      double draw, struct admitted *admitted,
                                      const char **why);
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -87,6 +87,9 @@
         item = g_hash_table_lookup(directory->items, PLATFORM_CONFIG_KEY);
         item->revision = config_copy_revision(directory->config);
     }
+    if (!result->failed) {
+        directory->config_unread = result->why != NULL;
+    }
     if (result->why != NULL) {
         LOG_ERR("a configuration can't be read, the last one stays in force",
                 "revision=%s error=\"%s\"",
@@ -643,75 +646,3 @@
         for_each_due(directory, has_removal, apply_removal, now_ms);
     }
 }
-
-struct catalog *
-directory_catalog(const struct directory *directory)
-{
-    return directory->catalog;
-}
-
-static uint64_t
-age_of(uint64_t confirmed_ms, uint64_t now_ms)
-{
-    return confirmed_ms == 0 ? UINT64_MAX : now_ms - MIN(confirmed_ms, now_ms);
-}
-
-uint64_t
-directory_age_ms(const struct directory *directory, uint64_t now_ms)
-{
-    return age_of(directory->confirmed_ms, now_ms);
-}
-
-uint64_t
-directory_config_age_ms(const struct directory *directory, uint64_t now_ms)
-{
-    return age_of(directory->config_confirmed_ms, now_ms);
-}
-
-const char *
-directory_source(const struct directory *directory)
-{
-    return directory->source != NULL ? directory->source : "-";
-}
-
-uint64_t
-directory_ask_revision(const struct directory *directory)
-{
-    return directory->config_failed
-               ? MIN(config_copy_revision(directory->config),
-                     directory->revision)
-               : directory->revision;
-}
-
-uint64_t
-directory_config_base(const struct directory *directory)
-{
-    return directory->config_failed
-               ? 0
-               : config_copy_added_revision(directory->config);
-}
-
-bool
-directory_lacks_config(const struct directory *directory)
-{
-    return directory->config_failed;
-}
-
-bool
-directory_may_send(const struct directory *directory)
-{
-    return !directory->config_failed &&
-           !config_copy_is_pending(directory->config);
-}
-
-uint32_t
-directory_era_changes(const struct directory *directory)
-{
-    return directory->era.count;
-}
-
-uint64_t
-directory_revision(const struct directory *directory)
-{
-    return directory->revision;
-}
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -97,6 +97,11 @@
 uint64_t directory_config_age_ms(const struct directory *directory,
                                  uint64_t now_ms);
 
+/* How long ago the configuration in force was last known to have all routes
+   and keys: its age, but UINT64_MAX while the newest one can't be read. */
+uint64_t directory_complete_age_ms(const struct directory *directory,
+                                   uint64_t now_ms);
+
 /* Who has confirmed the copy last: "store", a gateway's address, or "-". */
 const char *directory_source(const struct directory *directory);
 
--- a/gateway/directory_changes.c
+++ b/gateway/directory_query.c
@@ -11,6 +11,86 @@
     DECIMAL = 10,
 };
 
+struct catalog *
+directory_catalog(const struct directory *directory)
+{
+    return directory->catalog;
+}
+
+static uint64_t
+age_of(uint64_t confirmed_ms, uint64_t now_ms)
+{
+    return confirmed_ms == 0 ? UINT64_MAX : now_ms - MIN(confirmed_ms, now_ms);
+}
+
+uint64_t
+directory_age_ms(const struct directory *directory, uint64_t now_ms)
+{
+    return age_of(directory->confirmed_ms, now_ms);
+}
+
+uint64_t
+directory_config_age_ms(const struct directory *directory, uint64_t now_ms)
+{
+    return age_of(directory->config_confirmed_ms, now_ms);
+}
+
+uint64_t
+directory_complete_age_ms(const struct directory *directory, uint64_t now_ms)
+{
+    return directory->config_unread
+               ? UINT64_MAX
+               : directory_config_age_ms(directory, now_ms);
+}
+
+const char *
+directory_source(const struct directory *directory)
+{
+    return directory->source != NULL ? directory->source : "-";
+}
+
+uint64_t
+directory_ask_revision(const struct directory *directory)
+{
+    return directory->config_failed
+               ? MIN(config_copy_revision(directory->config),
+                     directory->revision)
+               : directory->revision;
+}
+
+uint64_t
+directory_config_base(const struct directory *directory)
+{
+    return directory->config_failed
+               ? 0
+               : config_copy_added_revision(directory->config);
+}
+
+bool
+directory_lacks_config(const struct directory *directory)
+{
+    return directory->config_failed;
+}
+
+bool
+directory_may_send(const struct directory *directory)
+{
+    return !directory->config_failed &&
+           !config_copy_is_pending(directory->config);
+}
+
+uint32_t
+directory_era_changes(const struct directory *directory)
+{
+    return directory->era.count;
+}
+
+uint64_t
+directory_revision(const struct directory *directory)
+{
+    return directory->revision;
+}
+
 static void
 add_config(const struct directory *directory, struct store_items *items,
            uint64_t config_base)
--- a/gateway/directory_state.h
+++ b/gateway/directory_state.h
@@ -10,7 +10,7 @@
 #include "gateway/directory.h"
 
 /* The state of a directory, for the files that implement it: directory.c
-   applies items, directory_changes.c reads them for other gateways. */
+   applies items, directory_query.c reads them, also for other gateways. */
 
 struct directory_item {
     bool present;
@@ -34,6 +34,7 @@
     struct catalog *catalog;
     struct config_copy *config;
     bool config_failed; /* its patches; the copy lacks the newest one */
+    bool config_unread; /* the newest one can't be read */
     uint64_t revision;
     struct era_change era;
     uint64_t confirmed_ms;        /* 0: never */
--- a/gateway/explain.c
+++ b/gateway/explain.c
@@ -10,6 +10,7 @@
 #include "core/placement.h"
 #include "core/room.h"
 #include "gateway/directory.h"
+#include "gateway/forward_admission.h"
 #include "gateway/explain_query.h"
 #include "gateway/forward_placement.h"
 #include "gateway/forward_room.h"
@@ -338,16 +339,17 @@
 {
     struct forward *forward = &subject->forward;
     const struct forwarder *forwarder = &subject->forwarder;
+    const struct admission_config config = forward_admission_config(forward);
     const char *why;
 
     if (forward->catalog == NULL) {
         set_outcome(subject, "wait", 0, "waits for the first configuration");
         return;
     }
+
     switch (admission_check_named(
-        &forwarder->settings.admission, forward->catalog,
-        directory_config_age_ms(forwarder->deps.directory, loop_clock_ms()),
-        question->account, forward->metadata.host, question->path,
+        &forwarder->settings.admission, &config, question->account,
+        forward->metadata.host, question->path,
         g_rand_double(forwarder->random), &forward->admitted, &why)) {
     case ADMISSION_ACCEPTED:
         break;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -13,11 +13,11 @@
 #include "core/placement.h"
 #include "core/request_digest.h"
 #include "core/stream_latency.h"
-#include "core/store_revision.h"
 #include "gateway/assignment.h"
 #include "gateway/callers.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
+#include "gateway/forward_admission.h"
 #include "gateway/forward_placement.h"
 #include "gateway/forward_room.h"
 #include "gateway/forward_state.h"
@@ -427,59 +427,6 @@
     send_attempt(forward);
 }
 
-/* A refusal for want of a route or a key depends on how recent the copy of the
-   store is. */
-static void
-log_refusal(const struct forward *forward, uint32_t status, const char *why)
-{
-    const struct directory *directory = forward->forwarder->deps.directory;
-    uint64_t now_ms = loop_clock_ms();
-
-    LOG_INFO("request is not admitted",
-             "id=%s status=%u why=\"%s\" version=%" G_GUINT64_FORMAT
-             " config_age_ms=%" G_GUINT64_FORMAT " revision=%s"
-             " age_ms=%" G_GUINT64_FORMAT " confirmed_by=%s",
-             forward_id(forward), status, why,
-             forward->catalog != NULL ? catalog_version(forward->catalog) : 0,
-             directory_config_age_ms(directory, now_ms),
-             store_revision_text(directory_revision(directory)).text,
-             directory_age_ms(directory, now_ms), directory_source(directory));
-}
-
-static void
-refuse_admission(struct forward *forward, uint32_t status, const char *why)
-{
-    log_refusal(forward, status, why);
-    relay_local_reply(forward, status, why);
-}
-
-/* Returns false if the request was refused, and answered. */
-static bool
-admit(struct forward *forward)
-{
-    const struct forwarder *forwarder = forward->forwarder;
-    const char *why;
-
-    switch (admission_check(
-        &forwarder->settings.admission, forward->catalog,
-        directory_config_age_ms(forwarder->deps.directory, loop_clock_ms()),
-        &forward->metadata, forward->target, g_rand_double(forwarder->random),
-        &forward->admitted, &why)) {
-    case ADMISSION_ACCEPTED:
-        return true;
-    case ADMISSION_NO_ROUTE:
-        refuse_admission(forward, STATUS_NOT_FOUND, why);
-        return false;
-    case ADMISSION_UNKNOWN_KEY:
-        refuse_admission(forward, STATUS_UNAUTHORIZED, why);
-        return false;
-    case ADMISSION_UNAVAILABLE:
-        refuse_admission(forward, STATUS_UNAVAILABLE, why);
-        return false;
-    }
-    return false;
-}
-
 static void
 set_deadline(struct forward *forward)
 {
@@ -545,7 +492,7 @@
         directory_catalog(forward->forwarder->deps.directory);
 
     forward->catalog = catalog != NULL ? catalog_ref(catalog) : NULL;
-    if (!admit(forward)) {
+    if (!forward_admission_check(forward)) {
         return;
     }
     forward->digest = compute_digest(forward);
--- a/tests/faults/gateway_store.sh
+++ b/tests/faults/gateway_store.sh
@@ -38,6 +38,21 @@
 version_in_force 1 "$newest" || fail "gateway-1 put an older version in force"
 VERSION=$newest
 
+# A route that is not known may be in a newer configuration that can't be read:
+# the refusal is not final.
+expect "request on a route that does not exist" \
+    "$(call "$GATEWAY" /nowhere/x)" 404
+store_control 'put?key=op/config' -d 'no JSON'
+wait_log gateway-1 "a configuration can't be read"
+expect "request on a route that the unread configuration may have" \
+    "$(call "$GATEWAY" /nowhere/x)" 503
+expect "request beside an unread configuration" \
+    "$(call "$GATEWAY" /plain/x "${key[@]}")" 200
+configure ""
+wait_until version_in_force 1 "$VERSION"
+expect "request on a route that does not exist after that" \
+    "$(call "$GATEWAY" /nowhere/x)" 404
+
 # While the store is down, gateways serve requests without a key. Once a key
 # may have been removed meanwhile, they refuse requests with a key as not run
 # and report not ready.
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -23,21 +23,26 @@
     const char *target;
     const char *key;
     uint64_t age_ms;
+    uint64_t complete_age_ms;
     uint32_t apply_ms;
     enum admission result;
 };
 
 static const struct test_case cases[] = {
-    {"/known/x", "known", 4400, 2000, ADMISSION_ACCEPTED},
-    {"/known/x", "known", 4401, 2000, ADMISSION_UNAVAILABLE},
-    {"/other/x", "known", 1900, 2000, ADMISSION_NO_ROUTE},
-    {"/other/x", "known", 1901, 2000, ADMISSION_UNAVAILABLE},
-    {"/other/x", "known", 2500, 4000, ADMISSION_NO_ROUTE},
-    {"/other/x", "known", 2501, 4000, ADMISSION_UNAVAILABLE},
-    {"/other/x", "known", UINT64_MAX, 4000, ADMISSION_UNAVAILABLE},
-    {"/known/x", "other", 1900, 2000, ADMISSION_UNKNOWN_KEY},
-    {"/known/x", "other", 1901, 2000, ADMISSION_UNAVAILABLE},
-    {"/known/x", NULL, 1900, 2000, ADMISSION_UNKNOWN_KEY},
+    {"/known/x", "known", 4400, 4400, 2000, ADMISSION_ACCEPTED},
+    {"/known/x", "known", 4401, 4401, 2000, ADMISSION_UNAVAILABLE},
+    {"/other/x", "known", 1900, 1900, 2000, ADMISSION_NO_ROUTE},
+    {"/other/x", "known", 1901, 1901, 2000, ADMISSION_UNAVAILABLE},
+    {"/other/x", "known", 2500, 2500, 4000, ADMISSION_NO_ROUTE},
+    {"/other/x", "known", 2501, 2501, 4000, ADMISSION_UNAVAILABLE},
+    {"/other/x", "known", UINT64_MAX, UINT64_MAX, 4000, ADMISSION_UNAVAILABLE},
+    {"/known/x", "other", 1900, 1900, 2000, ADMISSION_UNKNOWN_KEY},
+    {"/known/x", "other", 1901, 1901, 2000, ADMISSION_UNAVAILABLE},
+    {"/known/x", NULL, 1900, 1900, 2000, ADMISSION_UNKNOWN_KEY},
+    /* The newest configuration can't be read. */
+    {"/known/x", "known", 0, UINT64_MAX, 2000, ADMISSION_ACCEPTED},
+    {"/other/x", "known", 0, UINT64_MAX, 2000, ADMISSION_UNAVAILABLE},
+    {"/known/x", "other", 0, UINT64_MAX, 2000, ADMISSION_UNAVAILABLE},
 };
 
 static enum admission
@@ -45,13 +50,17 @@
 {
     struct admission_settings settings = {.revoke_ms = 5000,
                                           .apply_ms = test->apply_ms};
+    struct admission_config config = {.catalog = catalog,
+                                      .age_ms = test->age_ms,
+                                      .complete_age_ms =
+                                          test->complete_age_ms};
     struct request_metadata request = {.host = (char *)"a.example",
                                        .key = (char *)test->key};
     struct admitted admitted;
     const char *why;
 
-    return admission_check(&settings, catalog, test->age_ms, &request,
-                           test->target, 0.0, &admitted, &why);
+    return admission_check(&settings, &config, &request, test->target, 0.0,
+                           &admitted, &why);
 }
 
 static void
