Directory: a copy from after a removal is sent whole

A gateway that has started after an item was removed does not know of the removal. Endpoints that are gone would get requests; the configuration is never removed, so it is not what the users saw.

Change: the revision of a copy's first list bounds what it can tell changes from; others get the whole copy.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -515,6 +515,10 @@
         remove_missing(directory, items, now_ms);
     }
     warn_of_unknown_data_centres(directory);
+    if (directory->revision == 0 ||
+        !store_revision_is_same_era(items->revision, directory->revision)) {
+        directory->first_revision = items->revision;
+    }
     directory->revision = items->revision;
     config_copy_start(directory->config);
     update_config_age(directory);
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -127,7 +127,8 @@
 bool directory_may_send(const struct directory *directory);
 
 /* The revision from which directory_items_since() can tell the changes, since
-   or 0: a copy of another era may have items that this one never had. */
+   or 0. What was removed before this copy's first list is not known, nor what
+   a copy of another era has. */
 uint64_t directory_since(const struct directory *directory, uint64_t since);
 
 /* The items to send to another gateway: those that changed after revision
--- a/gateway/directory_query.c
+++ b/gateway/directory_query.c
@@ -116,7 +116,7 @@
 uint64_t
 directory_since(const struct directory *directory, uint64_t since)
 {
-    return store_revision_is_same_era(since, directory->revision) ? since : 0;
+    return since >= directory->first_revision ? since : 0;
 }
 
 struct store_items *
--- a/gateway/directory_state.h
+++ b/gateway/directory_state.h
@@ -36,6 +36,7 @@
     bool config_failed; /* its patches; the copy lacks the newest one */
     bool config_unread; /* the newest one can't be read */
     uint64_t revision;
+    uint64_t first_revision; /* of the era's first list */
     struct era_change era;
     uint64_t confirmed_ms;        /* 0: never */
     char *source;                 /* of the last confirmation; NULL: none */
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -319,6 +319,31 @@
     destroy_fixture(second);
 }
 
+/* A gateway that has started after a removal does not know of it. If it sent
+   the changes alone, the other copy would keep the item and count as the
+   newest. */
+static void
+test_removal_before_start_is_sent(void)
+{
+    struct fixture *first = create_fixture();
+    struct fixture *second = create_fixture();
+    struct store_items *items;
+    uint64_t since;
+
+    apply_change(second, "servers/w", ready_entry, 10, 100);
+    apply_empty_list(first, 20, 200);
+    apply_change(first, "op/config", "{\"version\":5}", 21, 300);
+    since = directory_since(first->directory,
+                            directory_revision(second->directory));
+    items = directory_items_since(first->directory, since, 0);
+    directory_apply(second->directory, items, since == 0, 300, "peer", 300);
+    store_items_destroy(items);
+    g_assert_false(has_endpoint(second));
+    g_assert_cmpuint(directory_since(first->directory, 20), ==, 20);
+    destroy_fixture(first);
+    destroy_fixture(second);
+}
+
 /* A removal that one gateway delays is sent to other gateways too. Each of
    them decides by its own copy whether to delay it. */
 static void
@@ -478,6 +503,8 @@
     g_test_add_func("/directory/created-again", test_created_again_after_list);
     g_test_add_func("/directory/leaving", test_draining_is_immediate);
     g_test_add_func("/directory/full-copy", test_full_copy_is_sent);
+    g_test_add_func("/directory/removal-before-start",
+                    test_removal_before_start_is_sent);
     g_test_add_func("/directory/changes", test_changes_are_sent);
     g_test_add_func("/directory/delayed-removal-sent",
                     test_delayed_removal_is_sent);
