Directory: an answer of the store after the gateway has left it to others

Cause: reachability was one flag that the watch's thread and the role both wrote. The directory now knows whether the gateway follows, and an answer counts only then; each start of following reports the store's state anew.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -118,6 +118,7 @@
     directory->endpoints = endpoints;
     directory->handlers = *handlers;
     directory->data = data;
+    directory->following = true;
     directory->config = config_copy_create(settings, on_config, directory);
     directory->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
@@ -538,10 +539,17 @@
     return true;
 }
 
+void
+directory_set_following(struct directory *directory, bool following)
+{
+    directory->following = following;
+    directory->store_reachable = false;
+}
+
 void
 directory_set_store_reachable(struct directory *directory, bool reachable)
 {
-    directory->store_reachable = reachable;
+    directory->store_reachable = reachable && directory->following;
 }
 
 bool
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -66,12 +66,18 @@
                        uint64_t confirmed_ms, const char *source,
                        uint64_t now_ms);
 
-/* Records whether the store answers this gateway. */
+/* Records whether this gateway follows the store itself, as it does at first.
+   From then on the store has yet to answer it. */
+void directory_set_following(struct directory *directory, bool following);
+
+/* Records whether the store answers this gateway. A watch that ends after the
+   gateway has left the store to others counts for nothing. */
 void directory_set_store_reachable(struct directory *directory,
                                    bool reachable);
 
-/* Whether the store answers this gateway and the copy was confirmed less than
-   max_age_ms ago, so that changes need not be fetched from other gateways. */
+/* Whether this gateway follows the store, the store answers it, and the copy
+   was confirmed less than max_age_ms ago, so that changes need not be fetched
+   from other gateways. */
 bool directory_follows_store(const struct directory *directory,
                              uint64_t now_ms, uint64_t max_age_ms);
 
--- a/gateway/directory_state.h
+++ b/gateway/directory_state.h
@@ -42,6 +42,7 @@
     char *source;                 /* of the last confirmation; NULL: none */
     uint64_t config_confirmed_ms; /* of the configuration in force */
     uint64_t now_ms;              /* of the call in progress */
+    bool following;               /* the store itself */
     bool store_reachable;
     uint64_t recovered_ms;     /* end of the store's last outage; 0: none */
     uint64_t ticked_ms;        /* 0: not yet */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -360,9 +360,7 @@
         return;
     }
     gateway->follows_store = role.active;
-    if (!role.active) {
-        directory_set_store_reachable(gateway->directory, false);
-    }
+    directory_set_following(gateway->directory, role.active);
     LOG_INFO(role.active ? "follows the store" : "leaves the store to others",
              "revision=%s age_ms=%" PRIu64 " rank=%u gateways=%u",
              store_revision_text(role.revision).text,
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -40,15 +40,15 @@
     struct store_follow_handlers handlers;
     void *data;
     bool reachable;
-    bool reachability_reported; /* false: the next result is reported */
-    bool registered;            /* used by the registration thread only */
-    uint64_t lease_era;         /* of the registration's lease; likewise */
+    bool registered;    /* used by the registration thread only */
+    uint64_t lease_era; /* of the registration's lease; likewise */
     _Atomic bool deregistering;
     _Atomic uint64_t watch_gaps;
     _Atomic uint64_t era;  /* the latest one that a response told; 0: none */
     pthread_mutex_t mutex; /* guards the fields below */
     pthread_cond_t became_active;
     pthread_cond_t era_changed; /* of the monotonic clock */
+    bool report_next; /* the next result is reported, whatever it is */
     struct store_follow_role role;
 };
 
@@ -99,12 +99,16 @@
                     const char *why)
 {
     struct follow_update *update;
+    bool must_report;
 
-    if (follow->reachability_reported && follow->reachable == reachable) {
+    pthread_mutex_lock(&follow->mutex);
+    must_report = follow->report_next || follow->reachable != reachable;
+    follow->report_next = false;
+    pthread_mutex_unlock(&follow->mutex);
+    if (!must_report) {
         return;
     }
     follow->reachable = reachable;
-    follow->reachability_reported = true;
     update = g_new0(struct follow_update, 1);
     update->follow = follow;
     update->reachable = reachable;
@@ -323,7 +327,6 @@
 {
     pthread_mutex_lock(&follow->mutex);
     while (!follow->role.active) {
-        follow->reachability_reported = false;
         pthread_cond_wait(&follow->became_active, &follow->mutex);
     }
     /* With revision 0 all items are listed in any case. */
@@ -530,6 +533,7 @@
     follow->settings.extra_value = g_strdup(settings->extra_value);
     follow->handlers = *handlers;
     follow->data = data;
+    follow->report_next = true;
     pthread_mutex_init(&follow->mutex, NULL);
     pthread_cond_init(&follow->became_active, NULL);
     pthread_condattr_init(&monotonic);
@@ -552,6 +556,7 @@
        only when it has to resume. */
     if (role->active && !follow->role.active) {
         pthread_cond_signal(&follow->became_active);
+        follow->report_next = true;
     }
     follow->role = *role;
     pthread_mutex_unlock(&follow->mutex);
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -160,6 +160,26 @@
     destroy_fixture(fixture);
 }
 
+/* The watch in progress may end after the gateway has left the store to
+   others. If its answer counted, the gateway would not fetch changes from
+   them. */
+static void
+test_late_answer_of_the_store(void)
+{
+    struct fixture *fixture = create_fixture();
+
+    apply_change(fixture, "op/config", "{\"version\":5}", 10, 1000);
+    g_assert_true(directory_follows_store(fixture->directory, 1100, 2500));
+    directory_set_following(fixture->directory, false);
+    directory_set_store_reachable(fixture->directory, true);
+    g_assert_false(directory_follows_store(fixture->directory, 1100, 2500));
+    directory_set_following(fixture->directory, true);
+    g_assert_false(directory_follows_store(fixture->directory, 1100, 2500));
+    directory_set_store_reachable(fixture->directory, true);
+    g_assert_true(directory_follows_store(fixture->directory, 1100, 2500));
+    destroy_fixture(fixture);
+}
+
 static void
 test_removal_is_immediate(void)
 {
@@ -494,6 +514,7 @@
     g_test_add_func("/directory/versions", test_older_version_is_ignored);
     g_test_add_func("/directory/age", test_age);
     g_test_add_func("/directory/followed", test_follows_store);
+    g_test_add_func("/directory/late-answer", test_late_answer_of_the_store);
     g_test_add_func("/directory/removal", test_removal_is_immediate);
     g_test_add_func("/directory/lapsed", test_removal_is_delayed);
     g_test_add_func("/directory/own-link-loss",
