Store: an odd item leaves the other items of a list readable

What operators saw: gateways stop following the store's list. Here one item with a key that holds a NUL or bytes that are no UTF-8, or with a value that is no text, made decode_item() fail, and with it the whole list or watch, each time that it was asked for: no gateway got any further change as long as the item was there.

Cause: an item was parsed as a whole, with what the store writes of it (revision, lease) and what any writer chooses (key, value). The class of fault: a part that another process chooses decides on the whole.

Now the members of an item are told apart. Without a key or a valid revision the response is invalid, as before, since a change would be lost. An item whose key can't be read is left out: it can be none that gateways use. A value that is no text counts as empty, so that its reader refuses it. Members that aren't used are skipped without being parsed. Values that are longer than anything their reader uses (64 KiB for endpoints, 256 KiB for crash reports, 1 KiB for others but the configuration) are not decoded nor held.

An item whose member "value" is spelled with escapes was taken as one; it now makes the response invalid (invalid-lists), since it would otherwise count as a removal.

Not covered: a page of a list that has unreadable keys alone ends the list.

--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -668,6 +668,52 @@
     feed_text(sound_entry, parse_registration);
 }
 
+/* A list with the text of an item between two others, which must be read. */
+static void
+check_list(const char *key, const char *value)
+{
+    char *text = g_strdup_printf(
+        "{\"items\":[{\"key\":\"a\",\"value\":\"eHg/\",\"revision\":1},"
+        "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":2},"
+        "{\"key\":\"z\",\"value\":\"eHg/\",\"revision\":3}],"
+        "\"store_revision\":4}",
+        key, value);
+    struct store_items *items = platform_store_decode_items(
+        (const uint8_t *)text, strlen(text), "items", NULL);
+    const struct store_item *first;
+    const struct store_item *last;
+
+    g_assert_nonnull(items);
+    first = g_ptr_array_index(items->list, 0);
+    last = g_ptr_array_index(items->list, items->list->len - 1);
+    g_assert_cmpstr(first->key, ==, "a");
+    g_assert_cmpstr(last->key, ==, "z");
+    g_assert_cmpstr((const char *)last->bytes, ==, "xx?");
+    store_items_destroy(items);
+    g_free(text);
+}
+
+/* The input is a writer's value, and its key, which the store writes between
+   quotes. */
+static void
+parse_item_of_list(const GByteArray *input)
+{
+    char *value = g_base64_encode(input->data, input->len);
+    char *key = g_strndup((const char *)input->data, input->len);
+
+    check_list("servers/w", value);
+    check_list(g_strdelimit(key, "\"\\", '.'), "eHg/");
+    check_list("servers/w", key);
+    g_free(key);
+    g_free(value);
+}
+
+static void
+test_items_of_lists(void)
+{
+    feed_text(sound_entry, parse_item_of_list);
+}
+
 /* The operators' tables, and what the entries' platform stores. */
 
 static void
@@ -781,6 +827,7 @@
     g_test_add_func("/mutations/patches", test_patches);
     g_test_add_func("/mutations/platform-config", test_platform_config);
     g_test_add_func("/mutations/registrations", test_registrations);
+    g_test_add_func("/mutations/items-of-lists", test_items_of_lists);
     g_test_add_func("/mutations/tables", test_tables);
     g_test_add_func("/mutations/head", test_head);
     g_test_add_func("/mutations/claims", test_claims);
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -10,6 +10,7 @@
 #include "gateway/config_copy.h"
 #include "gateway/directory.h"
 #include "io/store_items.h"
+#include "platform/platform_store.h"
 
 #define ID "servers/w"
 
@@ -378,6 +379,129 @@
     destroy_fixture(fixture);
 }
 
+/* Lists and watches of the store. */
+
+#define GOOD(key, revision)                                                   \
+    "{\"key\":\"" key "\",\"value\":\"eHg/\",\"revision\":" revision          \
+    ",\"created\":1,\"lease\":0}"
+
+struct odd_item {
+    const char *json;
+    const char *key; /* NULL: the item is left out */
+    const char *value;
+};
+
+/* Guards against an item of another writer that makes the whole list, or
+   watch, unreadable. */
+static void
+test_odd_items_of_a_list(void)
+{
+    static const struct odd_item cases[] = {
+        {"{\"key\":\"k\",\"value\":\"\",\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":null,\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":7,\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":{\"a\":[\"}\"]},\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":\"\\u0000\",\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":\"\xff\",\"revision\":5}", "k", ""},
+        {"{\"key\":\"k\",\"value\":\"eHg/\",\"revision\":5,\"lease\":1e400}",
+         "k", "xx?"},
+        {"{\"key\":\"k\",\"value\":\"eHg/\",\"revision\":5,\"x\":\"\xff\"}",
+         "k", "xx?"},
+        {"{\"key\":\"a\\u0000b\",\"value\":\"\",\"revision\":5}", NULL, NULL},
+        {"{\"key\":\"\\ud800\",\"value\":\"\",\"revision\":5}", NULL, NULL},
+        {"{\"key\":\"a\xff\",\"value\":\"\",\"revision\":5}", NULL, NULL},
+        {"{\"key\":\"a\xff\",\"tombstone\":true,\"revision\":5}", NULL, NULL},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf("{\"items\":[" GOOD("a", "3") ",%s," GOOD(
+                                         "z", "4") "],\"store_revision\":9}",
+                                     cases[i].json);
+        struct store_items *items = platform_store_decode_items(
+            (const uint8_t *)text, strlen(text), "items", NULL);
+        const struct store_item *item;
+
+        g_test_message("%s", cases[i].json);
+        g_assert_nonnull(items);
+        g_assert_cmpuint(items->list->len, ==, cases[i].key != NULL ? 3 : 2);
+        item = g_ptr_array_index(items->list, items->list->len - 1);
+        g_assert_cmpstr(item->key, ==, "z");
+        g_assert_cmpstr((const char *)item->bytes, ==, "xx?");
+        item = g_ptr_array_index(items->list, 1);
+        if (cases[i].key != NULL) {
+            g_assert_cmpstr(item->key, ==, cases[i].key);
+            g_assert_cmpstr((const char *)item->bytes, ==, cases[i].value);
+            g_assert_cmpuint(item->revision, ==, 5);
+        }
+        store_items_destroy(items);
+        g_free(text);
+    }
+}
+
+/* Guards against a list that is taken though the store has not written it
+   whole: a change would be lost. */
+static void
+test_invalid_lists(void)
+{
+    static const char *const invalid[] = {
+        "{\"value\":\"eHg/\",\"revision\":5}",
+        "{\"key\":7,\"value\":\"eHg/\",\"revision\":5}",
+        "{\"key\":\"k\",\"value\":\"eHg/\"}",
+        "{\"key\":\"k\",\"value\":\"eHg/\",\"revision\":1e400}",
+        "{\"key\":\"k\",\"value\":\"eHg/\",\"revision\":\"5\"}",
+        "{\"key\":\"k\",\"v\\u0061lue\":\"eHg/\",\"revision\":5}",
+        "{\"key\":\"k\",\"value\":\"eHg/\",\"revision\":5",
+        "7",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        char *text = g_strdup_printf(
+            "{\"items\":[" GOOD("a", "3") ",%s],\"store_revision\":9}",
+            invalid[i]);
+
+        g_test_message("%s", invalid[i]);
+        g_assert_null(platform_store_decode_items(
+            (const uint8_t *)text, strlen(text), "items", NULL));
+        g_free(text);
+    }
+}
+
+/* Guards against values that are held though they are longer than anything
+   their reader uses. */
+static void
+test_long_values_are_not_held(void)
+{
+    enum {
+        BASE64_BYTES = 1024 * 1024,
+    };
+    static const struct {
+        const char *key;
+        bool held;
+    } cases[] = {{"op/config", true},
+                 {"servers/w", false},
+                 {"dandelionfork/crashes/e/g/1", false},
+                 {"dandelionfork/gateways/g", false},
+                 {"other", false}};
+    char *value = g_strnfill(BASE64_BYTES, 'A');
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char *text = g_strdup_printf(
+            "{\"items\":[{\"key\":\"%s\",\"value\":\"%s\",\"revision\":5}],"
+            "\"store_revision\":9}",
+            cases[i].key, value);
+        struct store_items *items = platform_store_decode_items(
+            (const uint8_t *)text, strlen(text), "items", NULL);
+        const struct store_item *item = g_ptr_array_index(items->list, 0);
+
+        g_assert_nonnull(item->bytes);
+        g_assert_cmpuint(item->count, ==,
+                         cases[i].held ? BASE64_BYTES / 4 * 3 : 0);
+        store_items_destroy(items);
+        g_free(text);
+    }
+    g_free(value);
+}
+
 /* Guards against a log line for each write of an odd entry, and against memory
    for each key that was ever refused. */
 static void
@@ -417,6 +541,9 @@
                     test_new_instance_has_another_service);
     g_test_add_func("/odd-entries/delayed-removal",
                     test_odd_entry_after_delayed_removal);
+    g_test_add_func("/odd-entries/lists", test_odd_items_of_a_list);
+    g_test_add_func("/odd-entries/invalid-lists", test_invalid_lists);
+    g_test_add_func("/odd-entries/long-values", test_long_values_are_not_held);
     g_test_add_func("/odd-entries/log", test_refused_items_are_logged_rarely);
     return g_test_run();
 }
