Gateways: an odd registration counts as no gateway and replaces none

What operators would see: garbage, or an address with port 0, under dandelionfork/gateways/ counted as a gateway. Shares of retries, of limits and of cold endpoints were divided by one too many, a connection to port 0 was tried again and again, and "can't parse a gateway's address" was logged at each check of the links. Written under the key of a real gateway, it took that one out of the list for good, since a gateway writes its own registration again only when its lease has ended.

Cause: the value was taken as an address without a look at it; the class of fault is that of the endpoints' entries. gateway/registered_gateway decodes what gateways write of themselves. A value that can't be used is refused and reported like an entry of an endpoint, and the one before it holds, for capacities too. Values with a NUL were cut at it; they are refused.

Evidence: before, test_odd_entries failed in gateways (check_gateways: 'g_ptr_array_find_with_equal_func(...)' should be TRUE).

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -5,10 +5,10 @@
 
 #include "core/catalog.h"
 #include "core/endpoints.h"
-#include "core/followers.h"
 #include "core/refused_items.h"
 #include "gateway/config_copy.h"
 #include "gateway/gateway_counters.h"
+#include "gateway/registered_gateway.h"
 #include "io/log.h"
 #include "io/store_items.h"
 #include "platform/platform_endpoint.h"
@@ -31,7 +31,6 @@
     /* How long after its start or a suspension the process may still get a
        newer state: two heartbeats of the peers and a watch of the store. */
     CATCH_UP_MS = 2000,
-    DECIMAL = 10,
 };
 
 struct directory_item {
@@ -307,6 +306,21 @@
     }
 }
 
+/* Whether the item has a value of a gateway that can't be used, and an earlier
+   one is in use, which then stays. */
+static bool
+is_refused_gateway(struct directory *directory, const struct store_item *item,
+                   const struct directory_item *known)
+{
+    const char *why =
+        item->bytes != NULL ? registered_gateway_check(item) : NULL;
+
+    if (why != NULL) {
+        report_refused(directory, item, why);
+    }
+    return why != NULL && known != NULL && known->present;
+}
+
 static void
 set_item(struct directory *directory, const struct store_item *item)
 {
@@ -314,6 +328,10 @@
         g_hash_table_lookup(directory->items, item->key);
     uint64_t removal_revision = 0;
 
+    if (is_refused_gateway(directory, item, known)) {
+        known->revision = item->revision;
+        return;
+    }
     if (known != NULL) {
         removal_revision = known->removal_revision;
     }
@@ -701,12 +719,15 @@
 
     g_hash_table_iter_init(&iter, directory->items);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct directory_item *item = value;
-
-        if (item->bytes != NULL &&
-            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY) {
-            g_ptr_array_add(addresses,
-                            g_strndup((const char *)item->bytes, item->count));
+        const struct directory_item *known = value;
+        const struct store_item item = {
+            .key = key, .bytes = known->bytes, .count = known->count};
+        char *address;
+
+        if (item.bytes != NULL &&
+            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY &&
+            registered_gateway_address(&item, &address) == NULL) {
+            g_ptr_array_add(addresses, address);
         }
     }
     return addresses;
@@ -717,15 +738,16 @@
                            const char *address)
 {
     char *key = platform_store_capacity_key(address);
-    const struct directory_item *item =
+    const struct directory_item *known =
         g_hash_table_lookup(directory->items, key);
-    guint64 capacity = 0;
+    uint32_t capacity = 0;
 
-    g_free(key);
-    if (item == NULL || item->bytes == NULL ||
-        !g_ascii_string_to_unsigned((const char *)item->bytes, DECIMAL, 0,
-                                    FOLLOWERS_MAX_CAPACITY, &capacity, NULL)) {
-        return 0;
+    if (known != NULL && known->bytes != NULL) {
+        const struct store_item item = {
+            .key = key, .bytes = known->bytes, .count = known->count};
+
+        (void)registered_gateway_capacity(&item, &capacity);
     }
-    return (uint32_t)capacity;
+    g_free(key);
+    return capacity;
 }
--- a/tests/faults/gateway_odd_entries.sh
+++ b/tests/faults/gateway_odd_entries.sh
@@ -107,7 +107,19 @@
 done
 check_workers "entries without a usable id"
 
+# Registrations of gateways: they count as none, and replace none.
+for value in '' odd "$IP:0" "$IP:70000"; do
+    store_control 'put?key=dandelionfork/gateways/odd' -d "$value"
+    store_control 'put?key=dandelionfork/gateways/gateway-2' -d "$value"
+    store_control "put?key=dandelionfork/capacities/$IP:7532" -d "$value"
+    store_control 'put?key=dandelionfork/crashes/odd' -d "$value"
+done
+configure ""
+wait_until version_in_force 1 "$VERSION"
+wait_until version_in_force 2 "$VERSION"
+check_workers "odd items of gateways"
 for n in 1 2; do
+    gateway_count_is $n 2 || fail "gateway-$n does not know two gateways"
     [ "$(gateway_metric $n refused_items_total)" -gt 0 ] ||
         fail "gateway-$n counts no refused item"
 done
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -379,6 +379,51 @@
     destroy_fixture(fixture);
 }
 
+/* Gateways' registrations. */
+
+static void
+check_gateways(const struct fixture *fixture, const char *const *expected)
+{
+    GPtrArray *addresses = directory_gateway_addresses(fixture->directory);
+
+    for (size_t i = 0; expected[i] != NULL; i++) {
+        g_assert_true(g_ptr_array_find_with_equal_func(addresses, expected[i],
+                                                       g_str_equal, NULL));
+    }
+    g_assert_cmpuint(addresses->len, ==, g_strv_length((char **)expected));
+    g_ptr_array_free(addresses, TRUE);
+}
+
+/* Guards against odd registrations of gateways that are counted as gateways,
+   or that replace one. */
+static void
+test_odd_gateways(void)
+{
+    static const char *const odd[] = {
+        "",        "odd",    "1.2.3.4:0", "1.2.3.4:70000",
+        "1.2.3.4", "::1:80", "0.0.0.0:80"};
+    static const char *const one[] = {"127.0.0.1:7531", NULL};
+    static const char *const none[] = {NULL};
+    struct fixture *fixture = create_fixture();
+
+    put(fixture, "dandelionfork/gateways/a", one[0]);
+    put(fixture, "dandelionfork/capacities/127.0.0.1:7531", "3");
+    for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+        g_test_message("%s", odd[i]);
+        put(fixture, "dandelionfork/gateways/b", odd[i]);
+        put(fixture, "dandelionfork/gateways/a", odd[i]);
+        put(fixture, "dandelionfork/capacities/127.0.0.1:7531", odd[i]);
+        check_gateways(fixture, one);
+        g_assert_cmpuint(
+            directory_gateway_capacity(fixture->directory, one[0]), ==, 3);
+    }
+    put_bytes(fixture, "dandelionfork/gateways/c", "127.0.0.1:1\0x", 13, 100);
+    check_gateways(fixture, one);
+    put(fixture, "dandelionfork/gateways/a", NULL);
+    check_gateways(fixture, none);
+    destroy_fixture(fixture);
+}
+
 /* Lists and watches of the store. */
 
 #define GOOD(key, revision)                                                   \
@@ -541,6 +586,7 @@
                     test_new_instance_has_another_service);
     g_test_add_func("/odd-entries/delayed-removal",
                     test_odd_entry_after_delayed_removal);
+    g_test_add_func("/odd-entries/gateways", test_odd_gateways);
     g_test_add_func("/odd-entries/lists", test_odd_items_of_a_list);
     g_test_add_func("/odd-entries/invalid-lists", test_invalid_lists);
     g_test_add_func("/odd-entries/long-values", test_long_values_are_not_held);
