Gateways: odd crash reports and keys harm neither quarantine nor log

Two smaller faults of the same class, bytes of another writer that count as our own:

- A part of a crash report whose number is that of whole requests (CRASH_REPORT_REQUEST_DEPTH), or above 32 bits and cut to it, was taken for a request.
Such a report is refused, counted in refused_items_total, and logged like other refused items.
- A key with a line break, such as servers/a%0d%0ax, added a line of the writer's choice to the log.
Control bytes in log fields become "?".

--- a/core/crash_report.c
+++ b/core/crash_report.c
@@ -120,7 +120,9 @@
         uint64_t number = flat_items_read_number(&reader);
 
         /* NULL: missing or empty. */
-        valid = id != NULL && !reader.failed;
+        valid =
+            id != NULL && !reader.failed &&
+            (request_digest_is_one(id) || number < CRASH_REPORT_REQUEST_DEPTH);
         if (valid && request_digest_is_one(id)) {
             crash_report_add_request(report, id, number);
         }
--- a/gateway/crash_monitor.c
+++ b/gateway/crash_monitor.c
@@ -6,6 +6,8 @@
 #include "core/crash_report.h"
 #include "core/endpoints.h"
 #include "core/quarantine.h"
+#include "core/refused_items.h"
+#include "gateway/gateway_counters.h"
 #include "gateway/peers.h"
 #include "gateway/upstreams.h"
 #include "io/http_connection.h"
@@ -42,8 +44,9 @@
     struct store_writer *writer;
     struct crash_monitor_settings settings;
     struct quarantine *quarantine;
-    GHashTable *checks; /* endpoint id to struct check, owned */
-    uint64_t event_ms;  /* of the last event of a prompt; 0: none */
+    struct refused_items *refused; /* reports that were logged */
+    GHashTable *checks;            /* endpoint id to struct check, owned */
+    uint64_t event_ms;             /* of the last event of a prompt; 0: none */
 };
 
 static void
@@ -69,6 +72,7 @@
     monitor->upstreams = upstreams;
     monitor->writer = writer;
     monitor->settings = *settings;
+    monitor->refused = refused_items_create();
     monitor->quarantine = quarantine_create(settings->period_ms);
     monitor->checks =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_check);
@@ -275,7 +279,11 @@
         crash_report_decode(item->bytes, item->count);
 
     if (report == NULL) {
-        LOG_WARN("a crash report can't be decoded", "key=%s", item->key);
+        gateway_counters_count(COUNT_REFUSED_ITEMS);
+        if (refused_items_add(monitor->refused, item->key,
+                              loop_now_ms(monitor->loop))) {
+            LOG_WARN("a crash report can't be decoded", "key=%s", item->key);
+        }
         return;
     }
     quarantine_add_report(monitor->quarantine, report, item->revision,
--- a/io/log.c
+++ b/io/log.c
@@ -179,6 +179,17 @@
     }
 }
 
+/* Values may come from other processes: an event stays one line. */
+static void
+replace_control_bytes(char *text)
+{
+    for (; *text != '\0'; text++) {
+        if (g_ascii_iscntrl(*text)) {
+            *text = '?';
+        }
+    }
+}
+
 void
 log_write(enum log_level level, const char *part, const char *event,
           const char *fields, ...)
@@ -196,6 +207,7 @@
     va_start(args, fields);
     text = g_strdup_vprintf(fields, args);
     va_end(args);
+    replace_control_bytes(text);
     now = g_date_time_new_now_utc();
     when = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
     if (line_format == LOG_JSON) {
--- a/tests/unit/test_log.c
+++ b/tests/unit/test_log.c
@@ -84,11 +84,25 @@
         line, " info test: link down why=\"left the list\" count=3\n"));
 }
 
+/* Guards against values from other processes that add lines to the log. */
+static void
+test_control_bytes(void)
+{
+    const char *line;
+
+    log_configure(LOG_INFO, LOG_TEXT, LOG_STDERR);
+    begin_capture();
+    LOG_INFO("refused", "key=%s", "a\r\nb\x7f\x1b");
+    line = end_capture();
+    g_assert_true(g_str_has_suffix(line, " info test: refused key=a??b??\n"));
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/log/json-fields", test_json_fields);
     g_test_add_func("/log/text-fields", test_text_fields);
+    g_test_add_func("/log/control-bytes", test_control_bytes);
     return g_test_run();
 }
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "core/crash_report.h"
 #include "core/endpoints.h"
 #include "core/refused_items.h"
 #include "gateway/config_copy.h"
@@ -424,6 +425,33 @@
     destroy_fixture(fixture);
 }
 
+/* Guards against a report whose number for a part is that of whole requests.
+ */
+static void
+test_crash_report_of_odd_depth(void)
+{
+    static const struct {
+        uint32_t depth;
+        bool valid;
+    } cases[] = {{0, true},
+                 {CRASH_REPORT_REQUEST_DEPTH - 1, true},
+                 {CRASH_REPORT_REQUEST_DEPTH, false}};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct crash_report *report = crash_report_create("g", "e", 1, 1);
+        GByteArray *bytes = g_byte_array_new();
+        struct crash_report *decoded;
+
+        crash_report_add(report, "aa", cases[i].depth);
+        crash_report_encode(report, bytes);
+        decoded = crash_report_decode(bytes->data, bytes->len);
+        g_assert_cmpint(decoded != NULL, ==, cases[i].valid);
+        crash_report_destroy(decoded);
+        crash_report_destroy(report);
+        g_byte_array_unref(bytes);
+    }
+}
+
 /* Lists and watches of the store. */
 
 #define GOOD(key, revision)                                                   \
@@ -587,6 +615,8 @@
     g_test_add_func("/odd-entries/delayed-removal",
                     test_odd_entry_after_delayed_removal);
     g_test_add_func("/odd-entries/gateways", test_odd_gateways);
+    g_test_add_func("/odd-entries/crash-reports",
+                    test_crash_report_of_odd_depth);
     g_test_add_func("/odd-entries/lists", test_odd_items_of_a_list);
     g_test_add_func("/odd-entries/invalid-lists", test_invalid_lists);
     g_test_add_func("/odd-entries/long-values", test_long_values_are_not_held);
