--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -5,9 +5,12 @@
 
 #include "core/catalog.h"
 #include "core/endpoints.h"
+#include "core/refused_items.h"
 #include "core/store_revision.h"
 #include "gateway/config_copy.h"
 #include "gateway/directory_state.h"
+#include "gateway/gateway_counters.h"
+#include "gateway/registered_gateway.h"
 #include "io/log.h"
 #include "io/store_items.h"
 #include "platform/platform_endpoint.h"
@@ -120,6 +123,7 @@
     directory->data = data;
     directory->following = true;
     directory->config = config_copy_create(settings, on_config, directory);
+    directory->refused = refused_items_create();
     directory->items =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_item);
     return directory;
@@ -135,6 +139,7 @@
     g_free(directory->source);
     catalog_unref(directory->catalog);
     config_copy_destroy(directory->config);
+    refused_items_destroy(directory->refused);
     g_free(directory);
 }
 
@@ -156,27 +161,34 @@
 }
 
 static void
+report_refused(struct directory *directory, const struct store_item *item,
+               const char *why)
+{
+    gateway_counters_count(COUNT_REFUSED_ITEMS);
+    if (refused_items_add(directory->refused, item->key, directory->now_ms)) {
+        LOG_WARN("an item of the store is refused, an earlier one holds",
+                 "key=%s error=\"%s\" bytes=%zu revision=%s", item->key, why,
+                 item->count, store_revision_text(item->revision).text);
+    }
+}
+
+/* Returns false if the entry is refused. */
+static bool
 apply_endpoint(struct directory *directory, const struct store_item *item)
 {
     const char *id = platform_store_endpoint_id(item->key);
-    bool changed = false;
+    bool changed;
+    const char *why =
+        platform_endpoint_apply(directory->endpoints, directory->catalog, item,
+                                directory->now_ms, &changed);
     const struct endpoint *endpoint;
 
-    const char *warning;
-
-    if (!platform_endpoint_apply(directory->endpoints, item, directory->now_ms,
-                                 &changed, &warning)) {
-        LOG_WARN("an endpoint's entry can't be read",
-                 "endpoint=%s revision=%s", id,
-                 store_revision_text(item->revision).text);
-    }
-    if (warning != NULL) {
-        LOG_WARN("an endpoint's entry is wrong",
-                 "endpoint=%s error=\"%s\" revision=%s", id, warning,
-                 store_revision_text(item->revision).text);
+    if (why != NULL) {
+        report_refused(directory, item, why);
+        return false;
     }
     if (!changed) {
-        return;
+        return true;
     }
     endpoint = endpoints_find(directory->endpoints, id);
     LOG_INFO("endpoint changed",
@@ -190,6 +202,7 @@
              endpoint != NULL && endpoint->leaving,
              endpoint != NULL ? cold_left_ms(endpoint, directory->now_ms) : 0,
              store_revision_text(item->revision).text);
+    return true;
 }
 
 static void
@@ -209,7 +222,8 @@
              store_revision_text(item->revision).text);
 }
 
-static void
+/* Returns false if the item is refused and an earlier one still in use. */
+static bool
 process_item(struct directory *directory, const struct store_item *item)
 {
     switch (platform_store_item_type(item->key)) {
@@ -217,8 +231,7 @@
         apply_config(directory, item);
         break;
     case PLATFORM_ITEM_ENDPOINT:
-        apply_endpoint(directory, item);
-        break;
+        return apply_endpoint(directory, item);
     case PLATFORM_ITEM_GATEWAY:
     case PLATFORM_ITEM_CAPACITY:
         directory->handlers.gateways_changed(directory->data);
@@ -233,6 +246,7 @@
     case PLATFORM_ITEM_OTHER:
         break;
     }
+    return true;
 }
 
 /* Leases may expire during an outage of the store; their owners register again
@@ -274,6 +288,21 @@
     }
 }
 
+/* Whether the item has a value of a gateway that can't be used, and an earlier
+   one is in use, which then stays. */
+static bool
+is_refused_gateway(struct directory *directory, const struct store_item *item,
+                   const struct directory_item *known)
+{
+    const char *why =
+        item->bytes != NULL ? registered_gateway_check(item) : NULL;
+
+    if (why != NULL) {
+        report_refused(directory, item, why);
+    }
+    return why != NULL && known != NULL && known->present;
+}
+
 /* Takes an item into the copy, without what follows from it. */
 static struct directory_item *
 store_item(struct directory *directory, const struct store_item *item)
@@ -303,8 +332,19 @@
 static void
 set_item(struct directory *directory, const struct store_item *item)
 {
-    store_item(directory, item);
-    process_item(directory, item);
+    struct directory_item *known =
+        g_hash_table_lookup(directory->items, item->key);
+    uint64_t removal_revision = known != NULL ? known->removal_revision : 0;
+
+    if (is_refused_gateway(directory, item, known)) {
+        known->revision = item->revision;
+        return;
+    }
+    known = store_item(directory, item);
+    if (!process_item(directory, item)) {
+        /* A delayed removal is that of the entry in use. */
+        known->removal_revision = removal_revision;
+    }
 }
 
 /* Whether an item that was known in an earlier era is the same in this one. */
@@ -389,8 +429,10 @@
         return;
     }
     if (known != NULL && item->revision <= known->revision) {
-        /* The item is still in the store: the delayed removal is void. */
-        if (item->revision == known->revision && item->bytes != NULL) {
+        /* The item is still in the store: the delayed removal is void, unless
+           it came before the item, which was refused. */
+        if (item->revision == known->revision && item->bytes != NULL &&
+            known->removal_revision > known->revision) {
             known->removal_revision = 0;
         }
         return;
@@ -636,7 +678,7 @@
 
     if (!era_change_is_restored(&directory->era, item.revision, now_ms)) {
         known->held = false;
-        process_item(directory, &item);
+        (void)process_item(directory, &item);
     }
     directory->has_held |= known->held;
 }
--- a/gateway/directory_query.c
+++ b/gateway/directory_query.c
@@ -1,16 +1,12 @@
 #include <glib.h>
 
-#include "core/followers.h"
 #include "core/store_revision.h"
 #include "gateway/config_copy.h"
 #include "gateway/directory_state.h"
+#include "gateway/registered_gateway.h"
 #include "io/store_items.h"
 #include "platform/platform_store.h"
 
-enum {
-    DECIMAL = 10,
-};
-
 struct catalog *
 directory_catalog(const struct directory *directory)
 {
@@ -162,12 +158,15 @@
 
     g_hash_table_iter_init(&iter, directory->items);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
-        const struct directory_item *item = value;
-
-        if (item->bytes != NULL &&
-            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY) {
-            g_ptr_array_add(addresses,
-                            g_strndup((const char *)item->bytes, item->count));
+        const struct directory_item *known = value;
+        const struct store_item item = {
+            .key = key, .bytes = known->bytes, .count = known->count};
+        char *address;
+
+        if (item.bytes != NULL &&
+            platform_store_item_type(key) == PLATFORM_ITEM_GATEWAY &&
+            registered_gateway_address(&item, &address) == NULL) {
+            g_ptr_array_add(addresses, address);
         }
     }
     return addresses;
@@ -178,15 +177,16 @@
                            const char *address)
 {
     char *key = platform_store_capacity_key(address);
-    const struct directory_item *item =
+    const struct directory_item *known =
         g_hash_table_lookup(directory->items, key);
-    guint64 capacity = 0;
+    uint32_t capacity = 0;
 
-    g_free(key);
-    if (item == NULL || item->bytes == NULL ||
-        !g_ascii_string_to_unsigned((const char *)item->bytes, DECIMAL, 0,
-                                    FOLLOWERS_MAX_CAPACITY, &capacity, NULL)) {
-        return 0;
+    if (known != NULL && known->bytes != NULL) {
+        const struct store_item item = {
+            .key = key, .bytes = known->bytes, .count = known->count};
+
+        (void)registered_gateway_capacity(&item, &capacity);
     }
-    return (uint32_t)capacity;
+    g_free(key);
+    return capacity;
 }
--- a/gateway/directory_state.h
+++ b/gateway/directory_state.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "core/era_change.h"
+#include "core/refused_items.h"
 #include "gateway/directory.h"
 
 /* The state of a directory, for the files that implement it: directory.c
@@ -33,6 +34,7 @@
     GHashTable *items; /* key to struct directory_item */
     struct catalog *catalog;
     struct config_copy *config;
+    struct refused_items *refused; /* that were logged */
     bool config_failed; /* its patches; the copy lacks the newest one */
     bool config_unread; /* the newest one can't be read */
     uint64_t revision;
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -236,13 +236,8 @@
 is_complete(struct store_follow *follow, const struct store_items *changes,
             uint64_t after_revision)
 {
-    uint64_t newest = after_revision;
+    uint64_t newest = MAX(after_revision, changes->newest_revision);
 
-    for (guint i = 0; i < changes->list->len; i++) {
-        const struct store_item *item = g_ptr_array_index(changes->list, i);
-
-        newest = MAX(newest, item->revision);
-    }
     if (newest == changes->revision) {
         return true;
     }
--- a/io/store_items.c
+++ b/io/store_items.c
@@ -55,6 +55,13 @@
     item->count = count;
     item->revision = revision;
     g_ptr_array_add(items->list, item);
+    store_items_note_revision(items, revision);
+}
+
+void
+store_items_note_revision(struct store_items *items, uint64_t revision)
+{
+    items->newest_revision = MAX(items->newest_revision, revision);
 }
 
 void
--- a/io/store_items.h
+++ b/io/store_items.h
@@ -27,6 +27,8 @@
 struct store_items {
     GPtrArray *list;   /* struct store_item *, freed with the array */
     uint64_t revision; /* of the store; a watch goes on from it */
+    /* Of the latest item, also of those that were left out; 0: none. */
+    uint64_t newest_revision;
 };
 
 struct store_items *store_items_create(void);
@@ -36,6 +38,9 @@
 void store_items_add(struct store_items *items, const char *key,
                      const uint8_t *bytes, size_t count, uint64_t revision);
 
+/* Notes the revision of an item that is left out. */
+void store_items_note_revision(struct store_items *items, uint64_t revision);
+
 /* Marks the item that was added last as a patch. */
 void store_items_set_patch(struct store_items *items);
 
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -617,27 +617,101 @@
     feed_text(config_sample, parse_platform_config);
 }
 
+static const char sound_entry[] =
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"slots\":4,\"state\":\"draining\","
+    "\"cold_remaining_ms\":0,\"sequence\":1,\"born\":7}";
+
+static const char *
+apply_entry(struct endpoints *endpoints, const char *key, const void *bytes,
+            size_t count, bool *changed)
+{
+    struct store_items *items = store_items_create();
+    const char *why;
+
+    store_items_add(items, key, bytes, count, 1);
+    why = platform_endpoint_apply(
+        endpoints, NULL, g_ptr_array_index(items->list, 0), 0, changed);
+    store_items_destroy(items);
+    return why;
+}
+
+/* The input comes after a sound entry, which holds if the input is refused. */
 static void
 parse_registration(const GByteArray *input)
 {
     struct endpoints *endpoints = endpoints_create();
-    struct store_items *items = store_items_create();
+    const struct endpoint *endpoint;
     bool changed;
-    const char *warning;
-
-    store_items_add(items, "servers/a", input->data, input->len, 1);
-    platform_endpoint_apply(endpoints, g_ptr_array_index(items->list, 0), 0,
-                            &changed, &warning);
-    store_items_destroy(items);
+    bool refused;
+
+    g_assert_null(apply_entry(endpoints, "servers/a", sound_entry,
+                              strlen(sound_entry), &changed));
+    refused = apply_entry(endpoints, "servers/a", input->data, input->len,
+                          &changed) != NULL;
+    endpoint = endpoints_find(endpoints, "a");
+    g_assert_nonnull(endpoint);
+    g_assert_cmpuint(endpoint->port, >, 0);
+    g_assert_cmpuint(endpoint->slots, >, 0);
+    if (refused) {
+        g_assert_false(changed);
+        g_assert_true(endpoint->draining);
+        g_assert_cmpstr(endpoint->ip, ==, "10.0.0.1");
+        g_assert_cmpuint(endpoint->born_ms, ==, 7);
+    }
     endpoints_destroy(endpoints);
 }
 
 static void
 test_registrations(void)
 {
-    feed_text("{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-              "\"version\":\"v1\",\"slots\":4,\"state\":\"ready\"}",
-              parse_registration);
+    feed_text(sound_entry, parse_registration);
+}
+
+/* A list with the text of an item between two others, which must be read. */
+static void
+check_list(const char *key, const char *value)
+{
+    char *text = g_strdup_printf(
+        "{\"items\":[{\"key\":\"a\",\"value\":\"eHg/\",\"revision\":1},"
+        "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":2},"
+        "{\"key\":\"z\",\"value\":\"eHg/\",\"revision\":3}],"
+        "\"store_revision\":4}",
+        key, value);
+    struct store_items *items = platform_store_decode_items(
+        (const uint8_t *)text, strlen(text), "items", NULL);
+    const struct store_item *first;
+    const struct store_item *last;
+
+    g_assert_nonnull(items);
+    first = g_ptr_array_index(items->list, 0);
+    last = g_ptr_array_index(items->list, items->list->len - 1);
+    g_assert_cmpstr(first->key, ==, "a");
+    g_assert_cmpstr(last->key, ==, "z");
+    g_assert_cmpstr((const char *)last->bytes, ==, "xx?");
+    store_items_destroy(items);
+    g_free(text);
+}
+
+/* The input is a writer's value, and its key, which the store writes between
+   quotes. */
+static void
+parse_item_of_list(const GByteArray *input)
+{
+    char *value = g_base64_encode(input->data, input->len);
+    char *key = g_strndup((const char *)input->data, input->len);
+
+    check_list("servers/w", value);
+    check_list(g_strdelimit(key, "\"\\", '.'), "eHg/");
+    check_list("servers/w", key);
+    g_free(key);
+    g_free(value);
+}
+
+static void
+test_items_of_lists(void)
+{
+    feed_text(sound_entry, parse_item_of_list);
 }
 
 /* The operators' tables, and what the entries' platform stores. */
@@ -753,6 +827,7 @@
     g_test_add_func("/mutations/patches", test_patches);
     g_test_add_func("/mutations/platform-config", test_platform_config);
     g_test_add_func("/mutations/registrations", test_registrations);
+    g_test_add_func("/mutations/items-of-lists", test_items_of_lists);
     g_test_add_func("/mutations/tables", test_tables);
     g_test_add_func("/mutations/head", test_head);
     g_test_add_func("/mutations/claims", test_claims);
