Store: what a review of the fix found of the same class

A reader who had not seen the work looked for other events by which an old copy counts as the newest; each has a test that failed.

- A watch without a change in the middle was taken: only its newest one was compared.
Gateways that have seen the era before mark its beginning in the store before they pass into it, and tell others no age until it is complete. faults_gateway_start_in_new_era, test_directory_copies.
- A copy that has listed again did not know what was added and removed in between, and told its revision.
Copies from between two lists are sent whole.
- A lease whose grant and first write lie in two eras was kept, also by the writer of crash reports; a malformed Store-Era made all later lists fail; a registration that was held came into use in the next era; a store whose eras begin at 0 had its first one taken for none.
- At the beginning of an era watches are short, so that the copy is confirmed soon after it is complete: callers with keys are refused for less long.

--- a/core/era_change.c
+++ b/core/era_change.c
@@ -26,6 +26,18 @@
     return true;
 }
 
+bool
+era_change_mark(struct era_change *change, uint64_t filled_ms,
+                uint64_t list_revision, uint64_t now_ms)
+{
+    if (change->began_ms != 0 || now_ms >= filled_ms + REWRITE_MS) {
+        return false;
+    }
+    change->began_ms = now_ms;
+    change->list_revision = list_revision;
+    return true;
+}
+
 uint64_t
 era_change_complete_ms(const struct era_change *change)
 {
@@ -42,8 +54,6 @@
 era_change_is_restored(const struct era_change *change, uint64_t revision,
                        uint64_t now_ms)
 {
-    return change->began_ms != 0 &&
-           store_revision_is_same_era(revision, change->list_revision) &&
-           revision <= change->list_revision &&
+    return revision <= change->list_revision &&
            now_ms < change->began_ms + RESTORED_MS;
 }
--- a/core/era_change.h
+++ b/core/era_change.h
@@ -22,6 +22,13 @@
 bool era_change_begin(struct era_change *change, uint64_t known_revision,
                       uint64_t list_revision, uint64_t now_ms);
 
+/* Records that a copy that was first filled at filled_ms has a mark that its
+   era has just begun. A mark that comes later is that of a process which has
+   noticed the era late, and says nothing. Returns whether earlier
+   confirmations of the copy no longer count. */
+bool era_change_mark(struct era_change *change, uint64_t filled_ms,
+                     uint64_t list_revision, uint64_t now_ms);
+
 /* From when on a copy that equals the store has all that was acknowledged
    before the era began: what the store had lost is written again by then. 0:
    always.
@@ -33,7 +40,8 @@
                                 uint64_t now_ms);
 
 /* Whether an endpoint's registration of that revision may be an old one that
-   its writer has replaced or removed before the era began. */
+   its writer has replaced or removed before the era began. One that was held
+   in an era before remains so. */
 bool era_change_is_restored(const struct era_change *change, uint64_t revision,
                             uint64_t now_ms);
 
--- a/core/store_revision.c
+++ b/core/store_revision.c
@@ -5,16 +5,14 @@
 
 enum {
     NUMBER_BITS = 40,
-    ERA_BITS = 24,
 };
 
 static const uint64_t max_number = (UINT64_C(1) << NUMBER_BITS) - 1;
-static const uint64_t max_era = (UINT64_C(1) << ERA_BITS) - 1;
 
 uint64_t
 store_revision_make(uint64_t era, uint64_t number)
 {
-    if (era > max_era || number == 0 || number > max_number) {
+    if (era > STORE_REVISION_MAX_ERA || number == 0 || number > max_number) {
         return 0;
     }
     return era << NUMBER_BITS | number;
--- a/core/store_revision.h
+++ b/core/store_revision.h
@@ -12,7 +12,11 @@
    content. Era 0 is that of a store that tells none; its revisions are plain
    numbers, as earlier builds have them. Revision 0 stands for none. */
 
-/* Returns 0 if the era is above 16,777,215, or the number is 0 or above
+enum {
+    STORE_REVISION_MAX_ERA = 16777215
+};
+
+/* Returns 0 if the era is above the largest one, or the number is 0 or above
    1,099,511,627,775. */
 uint64_t store_revision_make(uint64_t era, uint64_t number);
 
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -90,7 +90,7 @@
         item = g_hash_table_lookup(directory->items, PLATFORM_CONFIG_KEY);
         item->revision = config_copy_revision(directory->config);
     }
-    if (!result->failed) {
+    if (result->why != NULL || result->catalog != NULL) {
         directory->config_unread = result->why != NULL;
     }
     if (result->why != NULL) {
@@ -103,8 +103,10 @@
     }
     /* Also while the next one is decoded: jobs may follow each other for
        longer than keys may outlive their removal. */
-    directory->config_confirmed_ms =
-        MAX(directory->config_confirmed_ms, result->confirmed_ms);
+    if (result->confirmed_ms >= directory->marked_ms) {
+        directory->config_confirmed_ms =
+            MAX(directory->config_confirmed_ms, result->confirmed_ms);
+    }
     update_config_age(directory);
     if (directory->handlers.config_settled != NULL) {
         directory->handlers.config_settled(directory->data);
@@ -243,6 +245,7 @@
     case PLATFORM_ITEM_SERVED_PART:
         directory->handlers.crash_item_changed(directory->data, item);
         break;
+    case PLATFORM_ITEM_ERA:
     case PLATFORM_ITEM_OTHER:
         break;
     }
@@ -530,6 +533,45 @@
     }
 }
 
+/* Notes a full list, from which on all removals are known again. The oldest
+   one that is kept counts as the first, so that copies from before are sent
+   whole.
+ */
+static void
+note_list(struct directory *directory, uint64_t revision)
+{
+    struct directory_list *list =
+        &directory->lists[directory->list_count % DIRECTORY_LISTS];
+
+    if (directory->revision == 0 ||
+        !store_revision_is_same_era(revision, directory->revision)) {
+        directory->first_revision = revision;
+        directory->list_count = 0;
+        return;
+    }
+    if (directory->list_count >= DIRECTORY_LISTS) {
+        directory->first_revision =
+            MAX(directory->first_revision, list->revision);
+    }
+    *list = (struct directory_list){directory->revision, revision};
+    directory->list_count++;
+}
+
+/* Looked for before the items count as confirmed. */
+static bool
+has_era_mark(const struct store_items *items)
+{
+    for (guint i = 0; i < items->list->len; i++) {
+        const struct store_item *item = g_ptr_array_index(items->list, i);
+
+        if (item->bytes != NULL &&
+            platform_store_item_type(item->key) == PLATFORM_ITEM_ERA) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 directory_apply(struct directory *directory, const struct store_items *items,
                 bool full, uint64_t confirmed_ms, const char *source,
@@ -550,6 +592,19 @@
                  store_revision_text(items->revision).text,
                  store_revision_text(directory->revision).text, source);
     }
+    if (directory->filled_ms == 0) {
+        directory->filled_ms = now_ms;
+    }
+    if (has_era_mark(items) &&
+        era_change_mark(&directory->era, directory->filled_ms, items->revision,
+                        now_ms)) {
+        LOG_WARN("the store's era has just begun, the copy does not count as "
+                 "the newest yet",
+                 "revision=%s", store_revision_text(items->revision).text);
+        directory->marked_ms = now_ms;
+        directory->confirmed_ms = 0;
+        directory->config_confirmed_ms = 0;
+    }
     set_confirmed(directory, confirmed_ms, source, now_ms);
     for (guint i = 0; i < items->list->len; i++) {
         apply_item(directory, g_ptr_array_index(items->list, i), now_ms);
@@ -558,9 +613,8 @@
         remove_missing(directory, items, now_ms);
     }
     warn_of_unknown_data_centres(directory);
-    if (directory->revision == 0 ||
-        !store_revision_is_same_era(items->revision, directory->revision)) {
-        directory->first_revision = items->revision;
+    if (full) {
+        note_list(directory, items->revision);
     }
     directory->revision = items->revision;
     config_copy_start(directory->config);
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -98,6 +98,11 @@
    store may have changed since. */
 uint64_t directory_age_ms(const struct directory *directory, uint64_t now_ms);
 
+/* The age to tell other gateways: UINT64_MAX at the beginning of an era, since
+   this copy's confirmation is that of an earlier one. */
+uint64_t directory_shared_age_ms(const struct directory *directory,
+                                 uint64_t now_ms);
+
 /* How long ago the configuration in force was last confirmed as newest. It is
    above the copy's age while a newer one is decoded or lacking. */
 uint64_t directory_config_age_ms(const struct directory *directory,
@@ -133,8 +138,8 @@
 bool directory_may_send(const struct directory *directory);
 
 /* The revision from which directory_items_since() can tell the changes, since
-   or 0. What was removed before this copy's first list is not known, nor what
-   a copy of another era has. */
+   or 0. What was removed before this copy's first list, or between two lists,
+   is not known, nor what a copy of another era has. */
 uint64_t directory_since(const struct directory *directory, uint64_t since);
 
 /* The items to send to another gateway: those that changed after revision
--- a/gateway/directory_query.c
+++ b/gateway/directory_query.c
@@ -25,6 +25,14 @@
     return age_of(directory->confirmed_ms, now_ms);
 }
 
+uint64_t
+directory_shared_age_ms(const struct directory *directory, uint64_t now_ms)
+{
+    return directory->confirmed_ms < era_change_complete_ms(&directory->era)
+               ? UINT64_MAX
+               : directory_age_ms(directory, now_ms);
+}
+
 uint64_t
 directory_config_age_ms(const struct directory *directory, uint64_t now_ms)
 {
@@ -112,6 +120,15 @@
 uint64_t
 directory_since(const struct directory *directory, uint64_t since)
 {
+    uint32_t count = MIN(directory->list_count, DIRECTORY_LISTS);
+
+    for (uint32_t i = 0; i < count; i++) {
+        const struct directory_list *list = &directory->lists[i];
+
+        if (since > list->before && since < list->revision) {
+            return 0;
+        }
+    }
     return since >= directory->first_revision ? since : 0;
 }
 
--- a/gateway/directory_state.h
+++ b/gateway/directory_state.h
@@ -13,6 +13,17 @@
 /* The state of a directory, for the files that implement it: directory.c
    applies items, directory_query.c reads them, also for other gateways. */
 
+enum {
+    DIRECTORY_LISTS = 8
+};
+
+/* A list that has taken the copy from one revision to another: what was added
+   and removed in between is not known. */
+struct directory_list {
+    uint64_t before;
+    uint64_t revision;
+};
+
 struct directory_item {
     bool present;
     uint8_t *bytes; /* NULL: removed, or in the config_copy */
@@ -38,7 +49,12 @@
     bool config_failed; /* its patches; the copy lacks the newest one */
     bool config_unread; /* the newest one can't be read */
     uint64_t revision;
+    /* Changes from a revision between two lists may lack removals. */
     uint64_t first_revision; /* of the era's first list */
+    struct directory_list lists[DIRECTORY_LISTS];
+    uint32_t list_count; /* since the first one; the latest ones are kept */
+    uint64_t filled_ms;  /* when the copy got its first items; 0: not yet */
+    uint64_t marked_ms;  /* confirmations before do not count; 0: all do */
     struct era_change era;
     uint64_t confirmed_ms;        /* 0: never */
     char *source;                 /* of the last confirmation; NULL: none */
--- a/gateway/explain.c
+++ b/gateway/explain.c
@@ -9,6 +9,7 @@
 #include "core/endpoints.h"
 #include "core/placement.h"
 #include "core/room.h"
+#include "core/store_revision.h"
 #include "gateway/directory.h"
 #include "gateway/forward_admission.h"
 #include "gateway/explain_query.h"
@@ -96,7 +97,8 @@
                   forwarder->draining, "config_version",
                   (json_int_t)(catalog != NULL ? catalog_version(catalog) : 0),
                   "store_revision",
-                  (json_int_t)directory_revision(forwarder->deps.directory),
+                  (json_int_t)store_revision_number(
+                      directory_revision(forwarder->deps.directory)),
                   "store_age_ms",
                   json_ms(directory_age_ms(forwarder->deps.directory,
                                            loop_clock_ms())),
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -534,7 +534,8 @@
         .extra_key = capacity_key,
         .extra_value = capacity_value,
         .registration_ttl_ms =
-            (uint32_t)gateway->settings.platform.registration_ttl_ms};
+            (uint32_t)gateway->settings.platform.registration_ttl_ms,
+        .era_key = PLATFORM_ERA_KEY};
 
     gateway->follow =
         store_follow_create(gateway->loop, &settings, &handlers, gateway);
--- a/gateway/peer_changes.c
+++ b/gateway/peer_changes.c
@@ -69,7 +69,7 @@
         .stamp_ms = request->stamp_ms,
         .revision = items->revision,
         .since = since,
-        .age_ms = directory_age_ms(directory, loop_clock_ms())};
+        .age_ms = directory_shared_age_ms(directory, loop_clock_ms())};
 
     store_items_encode(items, data);
     if (parts) {
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -38,6 +38,9 @@
        and are up to a second old when they arrive, so the directory's age
        reaches two seconds. */
     STORE_FRESH_MS = 2500,
+    /* A change that a peer has is waited for so long while the store answers;
+       the store's watch returns it within a fraction of that. */
+    BEHIND_MS = 400,
     /* Between two requests for changes, to any peer, and after the last part
        of a reply, so that a long one is not asked for twice. */
     SNAPSHOT_INTERVAL_MS = 300,
@@ -86,6 +89,8 @@
     bool load_pending;
     uint64_t load_sent_ms;
     uint64_t changes_asked_ms; /* last request for changes, or part */
+    uint64_t behind_revision;  /* that a peer has and this gateway lacks */
+    uint64_t behind_ms;        /* since when; 0: never */
     uint32_t gateway_count;
     uint32_t local_count; /* gateways of this data centre */
     uint32_t local_rank;
@@ -240,6 +245,18 @@
     return message->stamp_ms - MIN(message->age_ms, message->stamp_ms);
 }
 
+/* Notes a revision that a peer has. An earlier one that is still lacking
+   counts on. */
+static void
+note_behind(struct peers *peers, uint64_t revision, uint64_t now_ms)
+{
+    if (peers->behind_ms == 0 ||
+        directory_revision(peers->directory) >= peers->behind_revision) {
+        peers->behind_revision = revision;
+        peers->behind_ms = now_ms;
+    }
+}
+
 static void
 on_state(struct peer *peer, const struct message *message)
 {
@@ -261,7 +278,9 @@
         store_revision_era(directory_revision(peers->directory))) {
         return;
     }
+    note_behind(peers, message->revision, now_ms);
     if ((!directory_lacks_config(peers->directory) &&
+         now_ms < peers->behind_ms + BEHIND_MS &&
          directory_follows_store(peers->directory, loop_clock_ms(),
                                  STORE_FRESH_MS)) ||
         now_ms < peers->changes_asked_ms + SNAPSHOT_INTERVAL_MS) {
@@ -522,7 +541,7 @@
         .stamp_ms = request->stamp_ms,
         .revision = directory_revision(directory),
         .age_ms = may_share(inbound)
-                      ? directory_age_ms(directory, loop_clock_ms())
+                      ? directory_shared_age_ms(directory, loop_clock_ms())
                       : UINT64_MAX};
 
     link_send(inbound->link, &message);
--- a/io/http_call.c
+++ b/io/http_call.c
@@ -125,8 +125,11 @@
                  "answer to another request");
         return;
     }
-    session->number =
-        number != NULL ? g_ascii_strtoull(number, NULL, DECIMAL) : 0;
+    if (number == NULL ||
+        !g_ascii_string_to_unsigned(number, DECIMAL, 0, UINT64_MAX,
+                                    &session->number, NULL)) {
+        session->number = HTTP_NO_NUMBER;
+    }
     if (!call->handlers->head(call->context, head->status,
                               content_type != NULL ? content_type : "")) {
         end_call(session, false, HTTP_ERROR_NO_RESPONSE, "stopped");
@@ -332,7 +335,7 @@
     bool reused;
 
     session->call = &call;
-    session->number = 0;
+    session->number = HTTP_NO_NUMBER;
     if (session->connection != NULL &&
         http_connection_is_stale(session->connection)) {
         close_connection(session);
--- a/io/http_call.h
+++ b/io/http_call.h
@@ -74,8 +74,10 @@
                          const struct http_request *request, GByteArray *body,
                          size_t max_bytes, GError **error);
 
-/* Returns the request's number_header of the last response, 0 if it had none.
- */
+#define HTTP_NO_NUMBER UINT64_MAX
+
+/* Returns the request's number_header of the last response, HTTP_NO_NUMBER if
+   it had none or a malformed one. */
 uint64_t http_session_number(const struct http_session *session);
 
 #endif
--- a/io/store.c
+++ b/io/store.c
@@ -324,7 +324,8 @@
     if (status == HTTP_OK &&
         (json = parse_response(response, error)) != NULL) {
         decode_members(json, list, count);
-        *index = store_number(store);
+        *index =
+            store_number(store) != HTTP_NO_NUMBER ? store_number(store) : 0;
         ok = true;
     }
     else if (status == HTTP_NOT_FOUND) {
--- a/io/store.h
+++ b/io/store.h
@@ -65,7 +65,7 @@
 void store_destroy(struct store *store);
 
 /* Returns the number_header of the last call's response, whatever its status;
-   0: the response, if there was one, had none. */
+   HTTP_NO_NUMBER: the response, if there was one, had none. */
 uint64_t store_number(const struct store *store);
 
 /* Reads a key; a missing key is not an error. If wait_ms is not 0, the call
--- a/io/store_follow.c
+++ b/io/store_follow.c
@@ -29,6 +29,12 @@
        force. */
     BATCH_DELAY_MS = 150,
     RENEWALS_PER_TTL = 4,
+    /* At the beginning of an era its writers write again what the store has
+       lost, which takes two seconds and a half. The short watches confirm the
+       copy soon after that. */
+    NEW_ERA_MS = 3000,
+    NEW_ERA_WAIT_MS = 250,
+    ERA_MARK_TTL_MS = 2500,
     US_PER_MS = 1000,
     NS_PER_MS = 1000000,
     NS_PER_S = 1000000000,
@@ -40,8 +46,10 @@
     struct store_follow_handlers handlers;
     void *data;
     bool reachable;
-    bool registered;    /* used by the registration thread only */
-    uint64_t lease_era; /* of the registration's lease; likewise */
+    uint64_t listed_era;    /* used by the watch thread only; 0: none */
+    uint64_t era_listed_ms; /* likewise: first list in a later era; 0: none */
+    bool registered;        /* used by the registration thread only */
+    uint64_t lease_era;     /* of the registration's lease; likewise */
     _Atomic bool deregistering;
     _Atomic uint64_t watch_gaps;
     _Atomic uint64_t era;  /* the latest one that a response told; 0: none */
@@ -136,7 +144,8 @@
     return store;
 }
 
-/* The era of the store's last response, or the one known if it told none. */
+/* The era of the store's last response, or the one known if it told none that
+   is valid. */
 static uint64_t
 last_era(const struct store_follow *follow, const struct store *store)
 {
@@ -144,7 +153,9 @@
                        ? follow->settings.ops->era(store)
                        : 0;
 
-    return era != 0 ? era : atomic_load(&follow->era);
+    return era != 0 && era <= STORE_REVISION_MAX_ERA
+               ? era
+               : atomic_load(&follow->era);
 }
 
 /* Notes the era of the store's last response, on any of the threads. A new era
@@ -171,6 +182,37 @@
     }
 }
 
+/* Tells processes that start now that the era has just begun. */
+static void
+write_era_mark(struct store_follow *follow, struct store *store)
+{
+    const struct store_follow_settings *settings = &follow->settings;
+    GError *error = NULL;
+    uint64_t lease;
+
+    if (settings->era_key == NULL) {
+        return;
+    }
+    lease = settings->ops->grant_lease(store, ERA_MARK_TTL_MS, &error);
+    if (lease == 0 ||
+        !settings->ops->put(store, settings->era_key, "1", 1, lease, &error)) {
+        LOG_WARN("the beginning of the era is not marked", "error=\"%s\"",
+                 error != NULL ? error->message : "");
+        g_clear_error(&error);
+    }
+}
+
+/* Notes the era of a list, before it is reported. */
+static void
+note_listed_era(struct store_follow *follow, struct store *store, uint64_t era)
+{
+    if (follow->listed_era != 0 && era > follow->listed_era) {
+        write_era_mark(follow, store);
+        follow->era_listed_ms = loop_clock_ms();
+    }
+    follow->listed_era = era;
+}
+
 /* Lists all items. Returns the revision to watch from, 0 on failure. */
 static uint64_t
 list_all(struct store_follow *follow, struct store *store)
@@ -193,6 +235,7 @@
         store_items_destroy(items);
         return 0;
     }
+    note_listed_era(follow, store, store_revision_era(revision));
     post_items(follow, items, true, asked_ms);
     report_reachability(follow, true, "");
     return revision;
@@ -226,27 +269,36 @@
                   MAX(follow->role.follower_count, 1);
         pthread_mutex_unlock(&follow->mutex);
     }
+    if (follow->era_listed_ms != 0 &&
+        loop_clock_ms() < follow->era_listed_ms + NEW_ERA_MS) {
+        wait_ms = MIN(wait_ms, NEW_ERA_WAIT_MS);
+    }
     return wait_ms;
 }
 
-/* Whether the changes reach up to the revision of the response. Each change
-   has a revision of its own, so that otherwise some are missing, and a watch
-   from that revision would never return them. */
+/* Whether the changes are all from the watch's revision up to that of the
+   response. The store's counter rises by one with each change. If some were
+   missing, no later watch would return them. */
 static bool
 is_complete(struct store_follow *follow, const struct store_items *changes,
             uint64_t after_revision)
 {
-    uint64_t newest = MAX(after_revision, changes->newest_revision);
+    bool complete = changes->newest_revision == 0
+                        ? changes->revision == after_revision
+                        : changes->first_revision == after_revision + 1 &&
+                              !changes->has_gap &&
+                              changes->newest_revision == changes->revision;
 
-    if (newest == changes->revision) {
+    if (complete) {
         return true;
     }
     atomic_fetch_add(&follow->watch_gaps, 1);
     LOG_WARN("a watch lacks changes up to its revision, all items are listed "
              "again",
-             "after=%s changes=%u newest=%s revision=%s",
+             "after=%s changes=%u first=%s newest=%s revision=%s",
              store_revision_text(after_revision).text, changes->list->len,
-             store_revision_text(newest).text,
+             store_revision_text(changes->first_revision).text,
+             store_revision_text(changes->newest_revision).text,
              store_revision_text(changes->revision).text);
     return false;
 }
@@ -394,22 +446,26 @@
 }
 
 /* Writes the registration and the extra item under a new lease. The extra one
-   comes first, so that who sees the registration has it. */
+   comes first, so that who sees the registration has it. In another era than
+   its grant's the lease is another process's. */
 static bool
 register_process(const struct store_follow *follow, struct store *store,
                  uint64_t *lease, GError **error)
 {
     const struct store_follow_settings *settings = &follow->settings;
+    uint64_t era;
     bool ok;
 
     *lease = settings->ops->grant_lease(store, settings->registration_ttl_ms,
                                         error);
+    era = last_era(follow, store);
     ok = *lease != 0 &&
          (settings->extra_key == NULL ||
           put_text(follow, store, settings->extra_key, settings->extra_value,
                    *lease, error)) &&
          put_text(follow, store, settings->registration_key,
-                  settings->registration_value, *lease, error);
+                  settings->registration_value, *lease, error) &&
+         last_era(follow, store) == era;
     if (!ok) {
         *lease = 0;
     }
@@ -526,6 +582,7 @@
         g_strdup(settings->registration_value);
     follow->settings.extra_key = g_strdup(settings->extra_key);
     follow->settings.extra_value = g_strdup(settings->extra_value);
+    follow->settings.era_key = g_strdup(settings->era_key);
     follow->handlers = *handlers;
     follow->data = data;
     follow->report_next = true;
@@ -557,12 +614,6 @@
     pthread_mutex_unlock(&follow->mutex);
 }
 
-uint64_t
-store_follow_era(const struct store_follow *follow)
-{
-    return atomic_load(&follow->era);
-}
-
 uint64_t
 store_follow_watch_gaps(const struct store_follow *follow)
 {
--- a/io/store_follow.h
+++ b/io/store_follow.h
@@ -27,6 +27,9 @@
     const char *extra_key;
     const char *extra_value;
     uint32_t registration_ttl_ms; /* of the registration's lease */
+    /* Written for a few seconds when a new era is found, before its items are
+       reported, for processes that start then; NULL: not written. */
+    const char *era_key;
 };
 
 /* Called on the loop thread. */
@@ -67,9 +70,6 @@
 void store_follow_set_role(struct store_follow *follow,
                            const struct store_follow_role *role);
 
-/* The latest era of the store that a response told, 0: none. */
-uint64_t store_follow_era(const struct store_follow *follow);
-
 /* Number of watches whose changes did not reach up to their revision. */
 uint64_t store_follow_watch_gaps(const struct store_follow *follow);
 
--- a/io/store_items.c
+++ b/io/store_items.c
@@ -61,6 +61,12 @@
 void
 store_items_note_revision(struct store_items *items, uint64_t revision)
 {
+    if (items->first_revision == 0) {
+        items->first_revision = revision;
+    }
+    else {
+        items->has_gap |= revision > items->newest_revision + 1;
+    }
     items->newest_revision = MAX(items->newest_revision, revision);
 }
 
--- a/io/store_items.h
+++ b/io/store_items.h
@@ -27,8 +27,11 @@
 struct store_items {
     GPtrArray *list;   /* struct store_item *, freed with the array */
     uint64_t revision; /* of the store; a watch goes on from it */
-    /* Of the latest item, also of those that were left out; 0: none. */
+    /* Of the first and the latest item, also of those that were left out; 0:
+       none. has_gap: between two items a revision is missing. */
+    uint64_t first_revision;
     uint64_t newest_revision;
+    bool has_gap;
 };
 
 struct store_items *store_items_create(void);
--- a/io/store_writer.c
+++ b/io/store_writer.c
@@ -38,6 +38,7 @@
     struct store *store;
     uint64_t lease; /* 0: none */
     uint64_t lease_ms;
+    uint64_t lease_era;
 };
 
 static void
@@ -48,6 +49,14 @@
     g_free(item);
 }
 
+static uint64_t
+last_era(const struct store_writer *writer)
+{
+    return writer->settings.ops->era != NULL
+               ? writer->settings.ops->era(writer->store)
+               : 0;
+}
+
 /* One lease serves for all items of half its life. */
 static bool
 take_lease(struct store_writer *writer, uint64_t now_ms, GError **error)
@@ -59,6 +68,7 @@
     writer->lease_ms = now_ms;
     writer->lease = writer->settings.ops->grant_lease(
         writer->store, writer->settings.ttl_ms, error);
+    writer->lease_era = last_era(writer);
     return writer->lease != 0;
 }
 
@@ -70,7 +80,9 @@
     const char *bytes = g_bytes_get_data(item->bytes, &count);
     bool written = take_lease(writer, loop_clock_ms(), &error) &&
                    writer->settings.ops->put(writer->store, item->key, bytes,
-                                             count, writer->lease, &error);
+                                             count, writer->lease, &error) &&
+                   /* Otherwise the lease is another process's. */
+                   last_era(writer) == writer->lease_era;
 
     if (!written) {
         LOG_WARN("an item is not written to the store", "key=%s error=\"%s\"",
--- a/tests/unit/test_era_change.c
+++ b/tests/unit/test_era_change.c
@@ -71,8 +71,10 @@
     g_assert_true(era_change_is_restored(&change, list, 4999));
     g_assert_false(era_change_is_restored(&change, list, 5000));
     g_assert_false(era_change_is_restored(&change, list + 1, 4999));
-    g_assert_false(
+    g_assert_true(
         era_change_is_restored(&change, store_revision_make(1, 20), 4999));
+    g_assert_false(
+        era_change_is_restored(&change, store_revision_make(1, 20), 5000));
 }
 
 int
