Test: the revision of an item that is left out counts

A watch whose last change has a key that can't be read would otherwise seem to lack a change, and all items would be listed again.

--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -465,7 +465,7 @@
 };
 
 /* Guards against an item of another writer that makes the whole list, or
-   watch, unreadable. */
+   watch, unreadable, or a watch seem to lack a change. */
 static void
 test_odd_items_of_a_list(void)
 {
@@ -497,6 +497,7 @@
         g_test_message("%s", cases[i].json);
         g_assert_nonnull(items);
         g_assert_cmpuint(items->list->len, ==, cases[i].key != NULL ? 3 : 2);
+        g_assert_cmpuint(items->newest_revision, ==, 5);
         item = g_ptr_array_index(items->list, items->list->len - 1);
         g_assert_cmpstr(item->key, ==, "z");
         g_assert_cmpstr((const char *)item->bytes, ==, "xx?");
