A refusal on a reused connection counts only with the request's id

Callers were told "not run, try again" for requests that an endpoint had run or was running, or such a request was sent to a second endpoint: an endpoint wrote an earlier refusal once more on a connection that was kept.

Cause: a response without an id was taken as the answer of any request if it said that the request was not run, since an endpoint may refuse a request before it has read the id. That holds on a connection that has carried no other request; later, such a refusal can't be told from one of an earlier request. Its Retry-After and Server-Limit were kept as well. Class: a response is attributed by its place in a sequence that the endpoint may get wrong.

Now a response belongs to the request if it bears its id. One without an id counts only on a connection that has carried no other request; elsewhere the request may have run, nothing of the response is kept, and the connection is closed. A connection carries each id once, so that a second refusal of the same id can't answer a repeat. A request without an id gets a connection of its own. Connections end after 1,024 requests, which bounds what is kept of their ids.

Refusals with the id of an earlier request were told apart before, and the gateway has always closed a connection whose request was refused.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -287,6 +287,8 @@
         .head_only = strcmp(forward->method, "HEAD") == 0,
         .at_most_once =
             forward->admitted.route->execution == CATALOG_AT_MOST_ONCE,
+        .id = forward->metadata.id,
+        .needs_new = forward->metadata.id == NULL,
         .max_connections = MAX(forward->admitted.service->max_connections /
                                    peers_count(forward->forwarder->deps.peers),
                                1)};
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -281,13 +281,15 @@
     struct forward *forward = data;
     struct response_metadata metadata;
 
-    platform_http_decode_response(head, forward->metadata.id, &metadata);
-    upstream_set_idle_timeout_s(forward->upstream, metadata.keep_alive_s);
+    platform_http_decode_response(head, forward->metadata.id,
+                                  upstream_is_new(forward->upstream),
+                                  &metadata);
     if (!metadata.matches_request) {
         forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                             "answer to another request");
         return;
     }
+    upstream_set_idle_timeout_s(forward->upstream, metadata.keep_alive_s);
     if (metadata.not_executed) {
         forward->helper_at_fault =
             find_helper(forward, metadata.failed_endpoint);
--- a/gateway/upstreams.c
+++ b/gateway/upstreams.c
@@ -30,6 +30,8 @@
     SWEEP_INTERVAL_MS = 500,
     /* With limited kernel buffers. */
     MAX_UNSENT_BYTES = 16 * 1024,
+    /* Requests on one connection, which keeps 4 bytes for each. */
+    MAX_REQUESTS = 1024,
 };
 
 struct upstream {
@@ -45,6 +47,8 @@
     bool keep_alive;
     uint32_t idle_timeout_ms;
     uint64_t idle_since_ms;
+    uint32_t requests;
+    GArray *id_hashes; /* guint, of the requests that had an id */
 };
 
 /* The connections to one endpoint at one address. */
@@ -73,6 +77,7 @@
     upstream->upstreams->open_count--;
     http_connection_destroy(upstream->connection);
     loop_timer_destroy(upstream->timer);
+    g_array_free(upstream->id_hashes, TRUE);
     g_free(upstream);
 }
 
@@ -132,7 +137,7 @@
 
     /* A connection whose response came before all of the request's body was
        sent can't be reused. */
-    if (!upstream->keep_alive ||
+    if (!upstream->keep_alive || upstream->requests >= MAX_REQUESTS ||
         http_connection_queued_bytes(upstream->connection) > 0) {
         free_upstream(upstream);
     }
@@ -303,21 +308,55 @@
     return pool;
 }
 
+/* Two ids with one hash cost no more than another connection. */
+static bool
+has_carried(const struct upstream *upstream, const char *id)
+{
+    guint hash = id != NULL ? g_str_hash(id) : 0;
+
+    for (guint i = 0; id != NULL && i < upstream->id_hashes->len; i++) {
+        if (g_array_index(upstream->id_hashes, guint, i) == hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+record_request(struct upstream *upstream, const char *id)
+{
+    upstream->requests++;
+    if (id != NULL) {
+        guint hash = g_str_hash(id);
+
+        g_array_append_val(upstream->id_hashes, hash);
+    }
+}
+
 static struct upstream *
-take_idle(struct upstream_pool *pool, bool at_most_once, uint64_t now_ms)
+take_idle(struct upstream_pool *pool, const struct upstream_request *request,
+          uint64_t now_ms)
 {
-    struct upstream *upstream;
+    GList *next;
+
+    if (request->needs_new) {
+        return NULL;
+    }
+    for (GList *at = pool->idle.head; at != NULL; at = next) {
+        struct upstream *upstream = at->data;
 
-    while ((upstream = g_queue_peek_head(&pool->idle)) != NULL) {
-        if (now_ms >= usable_until_ms(upstream, at_most_once)) {
+        next = at->next;
+        if (now_ms >= usable_until_ms(upstream, request->at_most_once)) {
             return NULL;
         }
-        if (!http_connection_is_stale(upstream->connection)) {
-            g_queue_pop_head(&pool->idle);
+        if (http_connection_is_stale(upstream->connection)) {
+            free_upstream(upstream);
+        }
+        else if (!has_carried(upstream, request->id)) {
+            g_queue_delete_link(&pool->idle, at);
             upstream->busy = true;
             return upstream;
         }
-        free_upstream(upstream);
     }
     return NULL;
 }
@@ -343,10 +382,12 @@
     upstream->pool = pool;
     upstream->busy = true;
     upstream->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
+    upstream->id_hashes = g_array_new(FALSE, FALSE, sizeof(guint));
     upstream->connection =
         http_connection_connect(upstreams->loop, endpoint->ip, endpoint->port,
                                 &settings, &connection_handlers, upstream);
     if (upstream->connection == NULL) {
+        g_array_free(upstream->id_hashes, TRUE);
         g_free(upstream);
         return NULL;
     }
@@ -366,7 +407,7 @@
 {
     struct upstream_pool *pool = find_pool(upstreams, endpoint);
     struct upstream *upstream =
-        take_idle(pool, request->at_most_once, loop_now_ms(upstreams->loop));
+        take_idle(pool, request, loop_now_ms(upstreams->loop));
 
     if (upstream == NULL) {
         upstream =
@@ -375,6 +416,7 @@
     if (upstream == NULL) {
         return NULL;
     }
+    record_request(upstream, request->id);
     upstream->handlers = *handlers;
     upstream->data = data;
     upstream->due_ms = request->timeout_ms != 0
@@ -392,6 +434,12 @@
     return upstream;
 }
 
+bool
+upstream_is_new(const struct upstream *upstream)
+{
+    return upstream->requests == 1;
+}
+
 void
 upstream_set_idle_timeout_s(struct upstream *upstream, uint32_t idle_s)
 {
--- a/gateway/upstreams.h
+++ b/gateway/upstreams.h
@@ -44,6 +44,13 @@
        endpoint while the request is on its way, so only one that was used less
        than half a second ago is reused. */
     bool at_most_once;
+    /* The request's id, which its response repeats: a connection carries an id
+       only once, since a second response to the first request with it may
+       still arrive. NULL: none. */
+    const char *id;
+    /* Only a connection without an earlier request is used, whose first
+       response can belong to no other one. */
+    bool needs_new;
     /* Time for the complete response; 0: the owner cancels it when it is due.
      */
     uint32_t timeout_ms;
@@ -71,6 +78,10 @@
                                 const struct upstream_handlers *handlers,
                                 void *data);
 
+/* Whether the connection has carried no request before: the response may be
+   one that the endpoint has sent late or twice otherwise. */
+bool upstream_is_new(const struct upstream *upstream);
+
 /* Sets how many seconds the endpoint keeps an idle connection open, from its
    response's head. 0: the head doesn't say, nothing changes. */
 void upstream_set_idle_timeout_s(struct upstream *upstream, uint32_t idle_s);
--- a/tests/fakes/fake_server.c
+++ b/tests/fakes/fake_server.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 
 enum {
@@ -94,6 +95,38 @@
     return text != NULL ? strtoull(text, NULL, 10) : default_value;
 }
 
+void
+fake_send_raw(const struct fake_request *request, const char *bytes,
+              size_t count)
+{
+    const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+        request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    send(info->connect_fd, bytes, count, MSG_NOSIGNAL);
+}
+
+static uint32_t *
+response_count(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection,
+                                   MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+static void
+on_connection(void *data, struct MHD_Connection *connection, void **context,
+              enum MHD_ConnectionNotificationCode code)
+{
+    (void)data;
+    (void)connection;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *context = g_new0(uint32_t, 1);
+    }
+    else {
+        g_free(*context);
+    }
+}
+
 static enum MHD_Result
 send_response(const struct fake_request *request,
               const struct fake_response *response)
@@ -157,6 +190,7 @@
         request->method = g_strdup(method);
         request->path = g_strdup(url);
         request->body = g_byte_array_new();
+        request->responses = *response_count(connection);
         *context = request;
         return MHD_YES;
     }
@@ -167,6 +201,7 @@
         return MHD_YES;
     }
     server->handler(server->data, request, &response);
+    request->trailing = response.trailing;
     return send_response(request, &response);
 }
 
@@ -177,9 +212,13 @@
     struct fake_request *request = *context;
 
     (void)data;
-    (void)connection;
-    (void)code;
     if (request != NULL) {
+        (*response_count(connection))++;
+        if (request->trailing != NULL &&
+            code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+            fake_send_raw(request, request->trailing,
+                          strlen(request->trailing));
+        }
         g_free(request->method);
         g_free(request->path);
         g_byte_array_unref(request->body);
@@ -210,6 +249,7 @@
         MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_THREAD_PER_CONNECTION,
         address->port, NULL, NULL, on_request, &server, MHD_OPTION_SOCK_ADDR,
         &at, MHD_OPTION_NOTIFY_COMPLETED, on_completed, NULL,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL,
         MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
         1024U, MHD_OPTION_CONNECTION_LIMIT, 4096U,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)256 * 1024, MHD_OPTION_END);
--- a/tests/fakes/fake_server.h
+++ b/tests/fakes/fake_server.h
@@ -18,6 +18,9 @@
     char *path;
     struct _GByteArray *body;
     void *owner; /* unused by the server, which doesn't free it */
+    /* Responses that the connection has carried before this one. */
+    uint32_t responses;
+    const char *trailing; /* of the response */
 };
 
 struct fake_header_line {
@@ -38,6 +41,9 @@
     struct fake_header_line headers[FAKE_MAX_HEADERS];
     bool drop;     /* close the connection without a response */
     bool unframed; /* a streamed body has neither a length nor chunks */
+    /* Bytes that are sent as they are after the response; NULL: none. They
+       must stay valid. */
+    const char *trailing;
     /* If read is set, the body is streamed: read is a content reader callback
        of libmicrohttpd, and free_read frees read_data at the end. */
     ssize_t (*read)(void *data, uint64_t position, char *out, size_t max);
@@ -72,6 +78,9 @@
 uint64_t fake_query_number(const struct fake_request *request,
                            const char *name, uint64_t default_value);
 bool fake_has_query(const struct fake_request *request, const char *name);
+/* Sends bytes as they are on the request's connection. */
+void fake_send_raw(const struct fake_request *request, const char *bytes,
+                   size_t count);
 
 /* CLOCK_MONOTONIC in ms. */
 uint64_t fake_clock_ms(void);
--- a/tests/fakes/fake_worker.c
+++ b/tests/fakes/fake_worker.c
@@ -21,15 +21,19 @@
    that it stays cold that long), overrun?ms=N&limit=N&after=N (for N ms it
    exits when it has got more than the limit of requests within a second, from
    so many ms after the command on), orders?ms=N (orders wait that
-   long), stats. A request may ask for
-   another number of events (?events=N), for longer ones (?bytes=N adds so many
-   to each), for longer ones without pauses (?padding=N) or for a slower
-   response (?ms=N). The worker prints each run on
-   standard output, "ran MS ID ACCOUNT CREDENTIAL HELPERS", each refusal while
-   it is full, "refused MS ID RETRY_S|-", "overran MS N" before it exits since
-   it got more than N requests within a second, and the end
-   of each stream, "ended MS ID whole|cut": cut if its connection ended first.
-   MS is the time of fake_clock_ms(), ID the Attempt-Id. */
+   long), raw?when=kept|resumed&at=before|split|after (the command's body is
+   written as it is, with the request's Attempt-Id for each @: beside the
+   response to a request on a connection that has carried another one, or in
+   place of the response to a request with Last-Event-Id, after which the
+   connection closes; split: in two parts; without when: no more), stats. A
+   request may ask for another number of events (?events=N), for longer ones
+   (?bytes=N adds so many to each), for longer ones without pauses (?padding=N)
+   or for a slower response (?ms=N). The worker prints each run on standard
+   output, "ran MS ID ACCOUNT CREDENTIAL HELPERS", each refusal while it is
+   full, "refused MS ID RETRY_S|-", "overran MS N" before it exits since it got
+   more than N requests within a second, and the end of each stream, "ended MS
+   ID whole|cut": cut if its connection ended first. MS is the time of
+   fake_clock_ms(), ID the Attempt-Id. */
 
 #include <glib.h>
 #include <jansson.h>
@@ -91,6 +95,12 @@
     uint64_t order_ms; /* before an order is carried out */
     uint64_t reserves;
     uint64_t releases;
+    bool raw_kept;
+    bool raw_resumed;
+    bool raw_split;
+    bool raw_after;
+    const char *raw;
+    uint64_t raw_count; /* how often it was written */
 };
 
 struct stream {
@@ -385,6 +395,64 @@
     pthread_mutex_lock(&worker->lock);
 }
 
+static void
+copy_query(const struct fake_request *request, const char *name, char *out)
+{
+    const char *value = MHD_lookup_connection_value(
+        request->connection, MHD_GET_ARGUMENT_KIND, name);
+
+    g_strlcpy(out, value != NULL ? value : "", NAME_BYTES);
+}
+
+static const char *
+raw_bytes(const struct worker *worker, const struct fake_request *request)
+{
+    char **parts = g_strsplit(worker->raw, "@", -1);
+    char *joined = g_strjoinv(header_or_dash(request, "Attempt-Id"), parts);
+    const char *bytes = g_intern_string(joined);
+
+    g_free(joined);
+    g_strfreev(parts);
+    return bytes;
+}
+
+static void
+write_raw(struct worker *worker, const struct fake_request *request,
+          struct fake_response *response)
+{
+    const char *bytes = raw_bytes(worker, request);
+    size_t first = worker->raw_split ? strlen(bytes) / 2 : strlen(bytes);
+
+    worker->raw_count++;
+    if (worker->raw_after) {
+        response->trailing = bytes;
+        return;
+    }
+    fake_send_raw(request, bytes, first);
+    if (worker->raw_split) {
+        delay(worker, EVENT_PAUSE_US / US_PER_MS);
+        fake_send_raw(request, bytes + first, strlen(bytes) - first);
+    }
+}
+
+static void
+set_raw(struct worker *worker, const struct fake_request *request)
+{
+    char when[NAME_BYTES];
+    char at[NAME_BYTES];
+    char *bytes =
+        g_strndup((const char *)request->body->data, request->body->len);
+
+    copy_query(request, "when", when);
+    copy_query(request, "at", at);
+    worker->raw_kept = strcmp(when, "kept") == 0;
+    worker->raw_resumed = strcmp(when, "resumed") == 0;
+    worker->raw_split = strcmp(at, "split") == 0;
+    worker->raw_after = strcmp(at, "after") == 0;
+    worker->raw = g_intern_string(bytes);
+    g_free(bytes);
+}
+
 static void
 set_overrun(struct worker *worker, const struct fake_request *request)
 {
@@ -436,6 +504,14 @@
                header_or_dash(request, "Last-Event-Id"),
                header_or_dash(request, "Helpers"));
     delay(worker, fake_query_number(request, "ms", 0));
+    if (worker->raw_kept && request->responses > 0) {
+        write_raw(worker, request, response);
+    }
+    if (worker->raw_resumed && fake_header(request, "Last-Event-Id") != NULL) {
+        write_raw(worker, request, response);
+        response->drop = true;
+        return;
+    }
     while (worker->silent) {
         pthread_cond_wait(&worker->changed, &worker->lock);
     }
@@ -466,15 +542,6 @@
     worker->limit = milli > 0 ? g_intern_string(text) : NULL;
 }
 
-static void
-copy_query(const struct fake_request *request, const char *name, char *out)
-{
-    const char *value = MHD_lookup_connection_value(
-        request->connection, MHD_GET_ARGUMENT_KIND, name);
-
-    g_strlcpy(out, value != NULL ? value : "", NAME_BYTES);
-}
-
 static void
 set_crash(struct worker *worker, const struct fake_request *request)
 {
@@ -538,6 +605,9 @@
     else if (strcmp(command, "crash") == 0) {
         set_crash(worker, request);
     }
+    else if (strcmp(command, "raw") == 0) {
+        set_raw(worker, request);
+    }
     else if (strcmp(command, "cut") == 0) {
         worker->cut_after = fake_query_number(request, "after", 0);
         worker->cut_breaks = fake_query_number(request, "break", 0) != 0;
@@ -547,13 +617,14 @@
         response->body = g_strdup_printf(
             "{\"runs\":%lu,\"refused\":%lu,\"streams\":%lu,\"cut\":%lu,"
             "\"held\":%lu,"
-            "\"orders\":%lu,\"reserves\":%lu,\"releases\":%lu,\"last\":\"%s\"}"
-            "\n",
+            "\"orders\":%lu,\"reserves\":%lu,\"releases\":%lu,\"raw\":%lu,"
+            "\"last\":\"%s\"}\n",
             (unsigned long)worker->runs, (unsigned long)worker->refused,
             (unsigned long)worker->streams, (unsigned long)worker->streams_cut,
             (unsigned long)worker->reserved_tokens,
             (unsigned long)worker->orders, (unsigned long)worker->reserves,
-            (unsigned long)worker->releases, worker->last);
+            (unsigned long)worker->releases, (unsigned long)worker->raw_count,
+            worker->last);
     }
     else {
         response->status = MHD_HTTP_NOT_FOUND;
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -199,7 +199,7 @@
     GByteArray *out;
 
     if (!exchange->server) {
-        platform_http_decode_response(head, "id", &response);
+        platform_http_decode_response(head, "id", true, &response);
         return;
     }
     out = g_byte_array_new();
--- a/tests/unit/test_numbers.c
+++ b/tests/unit/test_numbers.c
@@ -416,7 +416,7 @@
         .status = 200, .headers = &header, .header_count = 1};
     struct response_metadata response;
 
-    platform_http_decode_response(&head, NULL, &response);
+    platform_http_decode_response(&head, NULL, true, &response);
     return response.has_load ? (int64_t)response.load_requests : -1;
 }
 
@@ -439,7 +439,7 @@
         .status = 200, .headers = &header, .header_count = 1};
     struct response_metadata response;
 
-    platform_http_decode_response(&head, NULL, &response);
+    platform_http_decode_response(&head, NULL, true, &response);
     return response.keep_alive_s;
 }
 
@@ -464,7 +464,7 @@
         .status = 200, .headers = &header, .header_count = 1};
     struct response_metadata response;
 
-    platform_http_decode_response(&head, NULL, &response);
+    platform_http_decode_response(&head, NULL, true, &response);
     return response.limit_per_s;
 }
 
@@ -488,7 +488,7 @@
         .status = status, .headers = &header, .header_count = 1};
     struct response_metadata response;
 
-    platform_http_decode_response(&head, NULL, &response);
+    platform_http_decode_response(&head, NULL, true, &response);
     return response.retry_after_ms;
 }
 
--- a/tests/unit/test_upstreams.c
+++ b/tests/unit/test_upstreams.c
@@ -53,7 +53,9 @@
     uint32_t ended;  /* responses that ended at the client */
     size_t received; /* bytes of bodies at the client */
     struct upstream *upstream;
-    bool pauses; /* the client stops reading when it gets bytes of a body */
+    bool pauses;    /* the client stops reading when it gets bytes of a body */
+    const char *id; /* of its requests */
+    uint32_t heads_of_new; /* responses on connections without earlier ones */
 };
 
 static struct fixture fixture = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -139,8 +141,11 @@
     (void)data;
     while (fixture.requests < fixture.step_count) {
         int fd = accept(fixture.listener, NULL, NULL);
-        bool stays_open = fd >= 0;
+        bool stays_open = true;
 
+        if (fd < 0) {
+            return NULL;
+        }
         while (stays_open && fixture.requests < fixture.step_count &&
                read_request(fd)) {
             const struct step *step = &fixture.steps[fixture.requests++];
@@ -159,6 +164,7 @@
 {
     (void)data;
     (void)head;
+    fixture.heads_of_new += upstream_is_new(fixture.upstream) ? 1 : 0;
 }
 
 static void
@@ -219,6 +225,7 @@
     static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     const struct upstream_request request = {.head = head,
                                              .head_bytes = strlen(head),
+                                             .id = fixture.id,
                                              .timeout_ms = 5000,
                                              .max_connections = 8};
 
@@ -274,13 +281,16 @@
     fixture.ended = 0;
     fixture.received = 0;
     fixture.results = g_string_new(NULL);
+    fixture.heads_of_new = 0;
     g_assert_cmpint(pthread_create(&thread, NULL, serve, NULL), ==, 0);
     send_next(NULL, 0);
     loop_run(fixture.loop);
-    pthread_join(thread, NULL);
-    g_assert_cmpuint(fixture.requests, ==, count);
     fixture.opened = upstreams_opened_total(fixture.upstreams);
     upstreams_destroy(fixture.upstreams);
+    /* The server may wait for a request that was not sent. */
+    shutdown(fixture.listener, SHUT_RDWR);
+    pthread_join(thread, NULL);
+    g_assert_cmpuint(fixture.requests, ==, count);
     close(fixture.listener);
     endpoints_destroy(endpoints);
     return g_string_free(fixture.results, FALSE);
@@ -304,6 +314,7 @@
                                         {RESPONSE("two"), ACTION_KEEP}};
 
     check(steps, 2, "one;two;", 1);
+    g_assert_cmpuint(fixture.heads_of_new, ==, 1);
 }
 
 /* A connection that was paused when the response ended is read again for the
@@ -331,6 +342,19 @@
     check(steps, 2, "one;two;", 2);
 }
 
+/* A second response to a request, which bears its id, would answer the next
+   request with the same id: a refusal that was sent twice. */
+static void
+test_same_id_again(void)
+{
+    static const struct step steps[] = {{RESPONSE("one"), ACTION_KEEP},
+                                        {RESPONSE("two"), ACTION_KEEP}};
+
+    fixture.id = "one";
+    check(steps, 2, "one;two;", 2);
+    fixture.id = NULL;
+}
+
 static void
 test_extra_later(void)
 {
@@ -398,6 +422,7 @@
     g_test_add_func("/upstreams/kept", test_connection_is_reused);
     g_test_add_func("/upstreams/paused", test_reused_after_pause);
     g_test_add_func("/upstreams/extra-at-once", test_extra_at_once);
+    g_test_add_func("/upstreams/same-id-again", test_same_id_again);
     g_test_add_func("/upstreams/extra-later", test_extra_later);
     g_test_add_func("/upstreams/unframed", test_unframed);
     g_test_add_func("/upstreams/unframed-reset", test_unframed_reset);
