Bytes beyond a response are seen before the connection is used again

A request that is sent when a response ends, as one that a caller has sent ahead on its connection, could take the upstream connection on which bytes beyond that response had been read already. The connection was closed a moment later, and the request counted as possibly run though nothing of it was sent: 502 for one that must not be repeated.

Cause: http_connection reported the response as complete first, and the bytes beyond it afterwards; they are no longer in the socket, where http_connection_is_stale() looks. They are noted before now.

--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -42,6 +42,7 @@
     bool flush_due; /* flush() is deferred until the present handler returns */
     bool awaiting_next; /* message complete; http_connection_next() is due */
     bool head_only;
+    bool has_extra; /* client: bytes have arrived beyond a response */
     bool in_head;
     uint32_t epoll_events;
     uint32_t informational; /* responses since the last final one */
@@ -306,8 +307,9 @@
         if (conn->server) {
             buffer_pipelined(conn, bytes + parsed, count - parsed);
         }
+        conn->has_extra = !conn->server && count > parsed;
         conn->handlers.complete(conn->data);
-        if (!conn->server && count > parsed && !conn->destroyed) {
+        if (conn->has_extra && !conn->destroyed) {
             report_end(conn, HTTP_CONNECTION_UNEXPECTED_BYTES);
         }
         return;
@@ -665,7 +667,7 @@
     uint8_t byte;
     ssize_t count;
 
-    if (conn->fd < 0 || conn->ended) {
+    if (conn->fd < 0 || conn->ended || conn->has_extra) {
         return true;
     }
     count = recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/tests/unit/test_upstreams.c
+++ b/tests/unit/test_upstreams.c
@@ -54,6 +54,7 @@
     size_t received; /* bytes of bodies at the client */
     struct upstream *upstream;
     bool pauses;    /* the client stops reading when it gets bytes of a body */
+    bool at_once;   /* it sends the next request when a response has ended */
     const char *id; /* of its requests */
     uint32_t heads_of_new; /* responses on connections without earlier ones */
 };
@@ -194,6 +195,9 @@
     if (fixture.sent == fixture.to_send) {
         loop_stop(fixture.loop);
     }
+    else if (fixture.at_once) {
+        send_next(NULL, 0);
+    }
     else if (action != ACTION_REPEAT && action != ACTION_CLOSE_IDLE) {
         loop_post(fixture.loop, send_next, NULL);
     }
@@ -342,6 +346,20 @@
     check(steps, 2, "one;two;", 2);
 }
 
+/* Nor is it by a request that is sent when the response ends, before the bytes
+   after it are looked at: that request was lost with the connection. */
+static void
+test_extra_before_next(void)
+{
+    static const struct step steps[] = {
+        {RESPONSE("one") RESPONSE("odd"), ACTION_KEEP},
+        {RESPONSE("two"), ACTION_KEEP}};
+
+    fixture.at_once = true;
+    check(steps, 2, "one;two;", 2);
+    fixture.at_once = false;
+}
+
 /* A second response to a request, which bears its id, would answer the next
    request with the same id: a refusal that was sent twice. */
 static void
@@ -422,6 +440,7 @@
     g_test_add_func("/upstreams/kept", test_connection_is_reused);
     g_test_add_func("/upstreams/paused", test_reused_after_pause);
     g_test_add_func("/upstreams/extra-at-once", test_extra_at_once);
+    g_test_add_func("/upstreams/extra-before-next", test_extra_before_next);
     g_test_add_func("/upstreams/same-id-again", test_same_id_again);
     g_test_add_func("/upstreams/extra-later", test_extra_later);
     g_test_add_func("/upstreams/unframed", test_unframed);
