A begun stream goes on only with the next event of another run

Callers found an error's text, at times its whole head, in the middle of their stream, missed events, or saw the stream end as if it were complete, after it had broken off and another endpoint was asked for the rest.

Cause: the endpoint's response was checked by its status and content type alone. Whatever ended with a blank line then counted as an event: an event without an id, the head of an HTTP response within the body, a comment, an event after a skipped one; and a response without any event ended the caller's as complete. Class: bytes of another run are joined without proof that they continue the first.

Now event_stream_resume() requires the next event: the id with the next number, where all ids before have risen by one from what the caller had, or else a higher one. What precedes it may have no content and is left out. A run without an event is not the end of the stream, also where nothing was left to send: the caller sees a cut and can ask again. An encoded body is no stream to go on with. Where what the caller has got has no id to go on after, and for responses that are no event streams, nothing is sent again: before, a broken download was requested a second time in vain, and an event stream would have been added to it.

--- a/core/event_stream.c
+++ b/core/event_stream.c
@@ -14,13 +14,28 @@
     bool at_line_start;  /* of the next byte; carriage returns don't count */
     char last_id[MAX_ID_BYTES + 1];
     bool has_id;
+    uint64_t last_number; /* of last_id; before, of what the receiver had */
+    bool consecutive;     /* each id was the next number */
+    bool unnumbered;      /* events without an id have followed the last id */
+    bool resuming;        /* no event has followed event_stream_resume() */
+};
+
+/* What the lines of an event say. */
+struct event {
+    bool has_id;
+    char id[MAX_ID_BYTES + 1]; /* the last one */
+    uint64_t number;
+    bool has_content;
 };
 
 struct event_stream *
-event_stream_create(void)
+event_stream_create(const char *after)
 {
     struct event_stream *stream = g_new0(struct event_stream, 1);
 
+    stream->last_number =
+        after != NULL ? g_ascii_strtoull(after, NULL, DECIMAL) : 0;
+    stream->consecutive = true;
     stream->partial = g_byte_array_new();
     stream->at_line_start = true;
     return stream;
@@ -55,63 +70,105 @@
     return 0;
 }
 
+/* Reads the id of a line. Returns false if it is not above the one before. */
 static bool
-parse_id(struct event_stream *stream, const char *line, size_t count)
+parse_id(const struct event_stream *stream, struct event *event,
+         const char *line, size_t count)
 {
-    char id[MAX_ID_BYTES + 1];
+    bool has_previous = event->has_id || stream->has_id;
+    uint64_t previous = event->has_id ? event->number : stream->last_number;
     size_t skip = strlen("id:");
 
     while (skip < count && line[skip] == ' ') {
         skip++;
     }
-    while (count > skip && line[count - 1] == '\r') {
-        count--;
-    }
     if (count - skip > MAX_ID_BYTES) {
         return false;
     }
-    memcpy(id, line + skip, count - skip);
-    id[count - skip] = '\0';
-    if (stream->has_id &&
-        g_ascii_strtoull(id, NULL, DECIMAL) <=
-            g_ascii_strtoull(stream->last_id, NULL, DECIMAL)) {
-        return false;
-    }
-    memcpy(stream->last_id, id, sizeof(id));
-    stream->has_id = true;
-    return true;
+    memcpy(event->id, line + skip, count - skip);
+    event->id[count - skip] = '\0';
+    event->has_id = true;
+    event->number = g_ascii_strtoull(event->id, NULL, DECIMAL);
+    return !has_previous || event->number > previous;
 }
 
 static bool
-parse_event(struct event_stream *stream, const uint8_t *bytes, size_t count)
+begins_with(const char *line, size_t count, const char *field)
 {
-    const char *line = (const char *)bytes;
-    const char *end = line + count;
+    return count >= strlen(field) && strncmp(line, field, strlen(field)) == 0;
+}
+
+static bool
+parse_event(const struct event_stream *stream, const GByteArray *bytes,
+            struct event *event)
+{
+    const char *line = (const char *)bytes->data;
+    const char *end = line + bytes->len;
 
     while (line < end) {
         const char *stop = memchr(line, '\n', (size_t)(end - line));
+        const char *next = stop != NULL ? stop + 1 : end;
         size_t length = (size_t)((stop != NULL ? stop : end) - line);
 
-        if (length > strlen("id:") && strncmp(line, "id:", 3) == 0 &&
-            !parse_id(stream, line, length)) {
+        while (length > 0 && line[length - 1] == '\r') {
+            length--;
+        }
+        if (length > strlen("id:") && begins_with(line, length, "id:") &&
+            !parse_id(stream, event, line, length)) {
             return false;
         }
-        line += length + 1;
+        if (length > 0 && line[0] != ':' &&
+            !begins_with(line, length, "retry:")) {
+            event->has_content = true;
+        }
+        line = next;
     }
     return true;
 }
 
+/* Whether the event is the first one of a run that resumes the stream. */
+static bool
+is_next(const struct event_stream *stream, const struct event *event)
+{
+    if (!stream->has_id) {
+        return true;
+    }
+    return event->has_id &&
+           (!stream->consecutive || event->number == stream->last_number + 1);
+}
+
+static void
+record_event(struct event_stream *stream, const struct event *event)
+{
+    stream->unnumbered =
+        !event->has_id && (event->has_content || stream->unnumbered);
+    stream->resuming = stream->resuming && !event->has_content;
+    if (!event->has_id) {
+        return;
+    }
+    stream->consecutive =
+        stream->consecutive && event->number == stream->last_number + 1;
+    stream->last_number = event->number;
+    memcpy(stream->last_id, event->id, sizeof(event->id));
+    stream->has_id = true;
+}
+
 /* Appends the partial event, which has become complete, to events. */
 static enum event_stream_result
 complete_event(struct event_stream *stream, GByteArray *events)
 {
-    GByteArray *event = stream->partial;
+    GByteArray *bytes = stream->partial;
+    struct event event = {0};
 
-    if (!parse_event(stream, event->data, event->len)) {
+    if (!parse_event(stream, bytes, &event) ||
+        (stream->resuming && event.has_content && !is_next(stream, &event))) {
         return EVENT_STREAM_OUT_OF_ORDER;
     }
-    g_byte_array_append(events, event->data, event->len);
-    g_byte_array_set_size(event, 0);
+    if (!stream->resuming || event.has_content) {
+        g_byte_array_append(events, bytes->data, bytes->len);
+        record_event(stream, &event);
+    }
+    g_byte_array_set_size(bytes, 0);
     return EVENT_STREAM_OK;
 }
 
@@ -140,17 +197,24 @@
     return EVENT_STREAM_OK;
 }
 
+bool
+event_stream_can_resume(const struct event_stream *stream)
+{
+    return !stream->unnumbered;
+}
+
 void
-event_stream_discard_partial(struct event_stream *stream)
+event_stream_resume(struct event_stream *stream)
 {
     g_byte_array_set_size(stream->partial, 0);
     stream->at_line_start = true;
+    stream->resuming = true;
 }
 
 bool
 event_stream_is_complete(const struct event_stream *stream)
 {
-    return stream->partial->len == 0;
+    return stream->partial->len == 0 && !stream->resuming;
 }
 
 const char *
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -141,9 +141,21 @@
     return budget;
 }
 
+/* Whether another endpoint's response can go on within the one that the caller
+   has got the beginning of. */
+static bool
+can_go_on(const struct forward *forward)
+{
+    return forward->response == RESPONSE_EVENTS &&
+           event_stream_can_resume(forward->events);
+}
+
 bool
 forward_may_retry(const struct forward *forward)
 {
+    if (forward->head_sent && !can_go_on(forward)) {
+        return false;
+    }
     if (forward->may_have_run &&
         forward->admitted.route->execution == CATALOG_AT_MOST_ONCE) {
         return false;
@@ -397,7 +409,7 @@
         return;
     }
     if (forward->events != NULL) {
-        event_stream_discard_partial(forward->events);
+        event_stream_resume(forward->events);
     }
     why = crash_monitor_refuses(forward->forwarder->deps.crashes, &suspects,
                                 forward_peers(forward),
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -151,13 +151,20 @@
            forward_may_retry(forward);
 }
 
+static bool
+can_go_on_with(const struct http_head *head)
+{
+    return head->status == STATUS_OK && response_head_is_event_stream(head) &&
+           http_head_value(head, "Content-Encoding") == NULL;
+}
+
 static void
 begin_response(struct forward *forward, const struct http_head *head)
 {
     if (forward->head_sent) {
         /* The stream resumes within the response that was begun already. */
-        if (head->status != STATUS_OK ||
-            !response_head_is_event_stream(head)) {
+        forward->unframed = head->until_close;
+        if (!can_go_on_with(head)) {
             forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                                 "no stream to go on with");
         }
@@ -168,7 +175,7 @@
     response_head_copy(forward->response_head, head);
     if (head->status == STATUS_OK && response_head_is_event_stream(head)) {
         forward->response = RESPONSE_EVENTS;
-        forward->events = event_stream_create();
+        forward->events = event_stream_create(forward->metadata.last_event_id);
     }
     else {
         forward->response = RESPONSE_BUFFERED;
@@ -515,8 +522,8 @@
     forward_end_attempt(forward, ATTEMPT_UNREAD, "the caller reads slowly");
 }
 
-/* Whether a stream was broken off. One without a length, chunks or any event
-   can't be told from an endpoint that has crashed. */
+/* Whether a stream was broken off, or not gone on with. One without a length,
+   chunks or any event can't be told from an endpoint that has crashed. */
 static bool
 is_cut_short(const struct forward *forward)
 {
--- a/tests/unit/test_gateway_core.c
+++ b/tests/unit/test_gateway_core.c
@@ -26,7 +26,7 @@
 static void
 test_events_are_complete(void)
 {
-    struct event_stream *stream = event_stream_create();
+    struct event_stream *stream = event_stream_create(NULL);
     GByteArray *events = g_byte_array_new();
 
     g_assert_true(parse_text(stream, "id: 1\ndata: a\n", events));
@@ -37,9 +37,10 @@
     g_assert_cmpuint(events->len, ==,
                      strlen("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"));
     g_assert_cmpstr(event_stream_last_id(stream), ==, "2");
-    event_stream_discard_partial(stream);
-    g_assert_true(event_stream_is_complete(stream));
+    event_stream_resume(stream);
+    g_assert_false(event_stream_is_complete(stream));
     g_assert_true(parse_text(stream, "id: 3\ndata: c\n\n", events));
+    g_assert_true(event_stream_is_complete(stream));
     g_assert_cmpstr(event_stream_last_id(stream), ==, "3");
     g_byte_array_unref(events);
     event_stream_destroy(stream);
@@ -50,7 +51,7 @@
 static void
 test_events_of_another_run(void)
 {
-    struct event_stream *stream = event_stream_create();
+    struct event_stream *stream = event_stream_create(NULL);
     GByteArray *events = g_byte_array_new();
 
     g_assert_null(event_stream_last_id(stream));
@@ -61,6 +62,54 @@
     event_stream_destroy(stream);
 }
 
+/* Another run that does not go on with the next event would leave events out
+   of the caller's stream, repeat them, or put an error's text there. */
+static void
+test_resumed_with(void)
+{
+    static const struct {
+        const char *after; /* what the caller had before */
+        const char *before;
+        bool can_resume;
+        const char *bytes;  /* of the other run */
+        const char *events; /* NULL: not the rest of the stream */
+    } cases[] = {
+        {NULL, "id: 1\n\n", true, "id: 2\n\n", "id: 2\n\n"},
+        {NULL, "id: 1\n\n", true, ": a\n\nretry: 9\n\nid: 2\n\n", "id: 2\n\n"},
+        {NULL, "id: 1\n\n", true, "v: 3\nid: 2\n\n\n", "v: 3\nid: 2\n\n\n"},
+        {NULL, "id: 1\n\n", true, "id: 3\n\n", NULL},
+        {NULL, "id: 1\n\n", true, "id: 1\n\n", NULL},
+        {NULL, "id: 1\n\n", true, "data: a\n\nid: 2\n\n", NULL},
+        {NULL, "id: 1\n\n", true, "HTTP/1.1 500 E\r\nA: 2\r\n\r\n", NULL},
+        {"7", "id: 8\n\n", true, "id: 10\n\n", NULL},
+        {"7", "id: 8\n\n", true, "id: 9\n\n", "id: 9\n\n"},
+        /* Ids that count something else than events. */
+        {NULL, "id: 5\n\n", true, "id: 9\n\n", "id: 9\n\n"},
+        {NULL, "id: 1\n\nid: 4\n\n", true, "id: 9\n\n", "id: 9\n\n"},
+        /* What has come after the last id would come twice. */
+        {NULL, "id: 1\n\ndata: a\n\n", false, "id: 2\n\n", "id: 2\n\n"},
+        {NULL, "data: a\n\n", false, "data: a\n\n", "data: a\n\n"},
+        {NULL, ": a\n\n", true, "data: a\n\n", "data: a\n\n"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        struct event_stream *stream = event_stream_create(cases[i].after);
+        GByteArray *events = g_byte_array_new();
+
+        g_assert_true(parse_text(stream, cases[i].before, events));
+        g_assert_cmpint(event_stream_can_resume(stream), ==,
+                        cases[i].can_resume);
+        g_byte_array_set_size(events, 0);
+        event_stream_resume(stream);
+        g_assert_cmpint(parse_text(stream, cases[i].bytes, events), ==,
+                        cases[i].events != NULL);
+        g_assert_cmpmem(events->data, events->len, cases[i].events,
+                        cases[i].events != NULL ? strlen(cases[i].events) : 0);
+        g_byte_array_unref(events);
+        event_stream_destroy(stream);
+    }
+}
+
 /* Events are found wherever the bytes are split. */
 static void
 test_events_in_parts(void)
@@ -68,7 +117,7 @@
     static const char text[] = "id: 1\r\ndata: a\r\n\r\n\n: note\n\nid: 7\n\n";
 
     for (size_t part = 1; part <= strlen(text); part++) {
-        struct event_stream *stream = event_stream_create();
+        struct event_stream *stream = event_stream_create(NULL);
         GByteArray *events = g_byte_array_new();
 
         for (size_t i = 0; i < strlen(text); i += part) {
@@ -89,7 +138,7 @@
 static void
 test_endless_event(void)
 {
-    struct event_stream *stream = event_stream_create();
+    struct event_stream *stream = event_stream_create(NULL);
     GByteArray *events = g_byte_array_new();
     uint8_t line[1024];
     size_t received = 0;
@@ -105,7 +154,7 @@
     g_assert_cmpint(result, ==, EVENT_STREAM_EVENT_TOO_LONG);
     g_assert_cmpuint(events->len, ==, strlen("id: 1\n\n"));
     g_assert_cmpstr(event_stream_last_id(stream), ==, "1");
-    event_stream_discard_partial(stream);
+    event_stream_resume(stream);
     g_assert_true(parse_text(stream, "id: 2\n\n", events));
     g_byte_array_unref(events);
     event_stream_destroy(stream);
@@ -581,6 +630,7 @@
     g_test_add_func("/events/whole", test_events_are_complete);
     g_test_add_func("/events/another-run", test_events_of_another_run);
     g_test_add_func("/events/in-parts", test_events_in_parts);
+    g_test_add_func("/events/resumed-with", test_resumed_with);
     g_test_add_func("/events/endless", test_endless_event);
     g_test_add_func("/budget/shared", test_budget_is_shared);
     g_test_add_func("/catalog/routes", test_routes);
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -343,7 +343,7 @@
 static void
 parse_events(const GByteArray *input)
 {
-    struct event_stream *stream = event_stream_create();
+    struct event_stream *stream = event_stream_create(NULL);
     GByteArray *events = g_byte_array_new();
 
     event_stream_parse(stream, input->data, input->len, events);
