The framing of a response is decided in one place

Bytes that are no answer followed the answer to a HEAD of a stream: "0" and two line ends, the last chunk of a body that a HEAD has not.

Cause: each function that sends a part of a response decided by itself whether there is a body; caller_stream_end() did not ask. Class: framing spread over calls. The same cause elsewhere: a HEAD of a plain route named Content-Length 0 instead of the endpoint's; a 204 named one; a 304 whose head names a length, as it may, waited for a body that never comes (502, or the deadline), as did a 204.

core/response_framing decides from the method, the status and what is known of the body, and is asked for each byte: it adds none beyond the end, whatever is called. The connections to endpoints use its rule for what has no body. A 205 gets none, since receivers differ in whether it may have one.

--- a/gateway/caller_state.h
+++ b/gateway/caller_state.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "core/catalog.h"
+#include "core/response_framing.h"
 #include "gateway/callers.h"
 
 /* The state of callers and their server, shared by callers.c, which reads
@@ -40,8 +41,9 @@
     struct loop_timer *timer;
     enum caller_state state;
     bool keep_alive;
-    bool head_only; /* HEAD: the response has no body */
-    bool behind;    /* had not taken all that was queued when last checked */
+    bool head_only;                  /* HEAD: the response has no body */
+    struct response_framing framing; /* of a streamed response */
+    bool behind; /* had not taken all that was queued when last checked */
     uint64_t acknowledged_bytes; /* while it is behind */
     uint64_t progress_ms;        /* when these have risen last */
     bool drops_queue;            /* what it has not taken is not sent to it */
--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -515,13 +515,6 @@
 
 /* Responses. */
 
-static void
-send_head(struct caller *caller, const GByteArray *head, const char *framing)
-{
-    http_connection_send(caller->connection, head->data, head->len);
-    http_connection_send(caller->connection, framing, strlen(framing));
-}
-
 /* Keeps the connection for the next request or closes it. Once the server has
    stopped listening, it is closed even if the response's head kept it open. */
 static void
@@ -544,67 +537,85 @@
     http_connection_next(caller->connection, false);
 }
 
+/* Begins the message with the response's head. */
+static GByteArray *
+begin_message(const struct caller *caller,
+              const struct caller_response *response,
+              struct response_framing_facts *facts, bool open,
+              struct response_framing *framing)
+{
+    GByteArray *message = g_byte_array_sized_new(
+        (guint)(response->head->len + facts->body_bytes) + 64);
+
+    facts->head_only = caller->head_only;
+    facts->status = response->status;
+    facts->has_length = response->has_length;
+    facts->length_bytes = response->length_bytes;
+    g_byte_array_append(message, response->head->data, response->head->len);
+    response_framing_begin(framing, facts, message);
+    bytes_add_text(message, open ? "\r\n" : "Connection: close\r\n\r\n");
+    return message;
+}
+
+static void
+send_message(struct caller *caller, GByteArray *message)
+{
+    http_connection_send(caller->connection, message->data, message->len);
+    g_byte_array_unref(message);
+}
+
 void
-caller_send_response(struct caller *caller, const GByteArray *head,
-                     const void *body, size_t count)
+caller_send_response(struct caller *caller,
+                     const struct caller_response *response, const void *body,
+                     size_t count)
 {
+    struct response_framing_facts facts = {.body_bytes = count};
+    struct response_framing framing;
     bool open = stays_open(caller);
-    char *framing = g_strdup_printf("Content-Length: %zu\r\n%s\r\n", count,
-                                    open ? "" : "Connection: close\r\n");
     GByteArray *message =
-        g_byte_array_sized_new((guint)(head->len + count) + 64);
+        begin_message(caller, response, &facts, open, &framing);
 
     /* One send for the complete response. */
-    g_byte_array_append(message, head->data, head->len);
-    bytes_add_text(message, framing);
-    if (!caller->head_only) {
-        g_byte_array_append(message, body, (guint)count);
-    }
-    http_connection_send(caller->connection, message->data, message->len);
-    g_byte_array_unref(message);
-    g_free(framing);
+    response_framing_add(&framing, body, count, message);
+    open = response_framing_end(&framing, true, message) && open;
+    send_message(caller, message);
     finish_response(caller, open);
 }
 
 void
-caller_stream_begin(struct caller *caller, const GByteArray *head)
+caller_stream_begin(struct caller *caller,
+                    const struct caller_response *response)
 {
+    struct response_framing_facts facts = {.is_stream = true};
+
     set_state(caller, CALLER_STREAMING);
     caller->keep_alive = stays_open(caller);
-    send_head(caller, head,
-              caller->keep_alive ? "Transfer-Encoding: chunked\r\n\r\n"
-                                 : "Transfer-Encoding: chunked\r\n"
-                                   "Connection: close\r\n\r\n");
+    send_message(caller, begin_message(caller, response, &facts,
+                                       caller->keep_alive, &caller->framing));
 }
 
 void
 caller_stream_chunk(struct caller *caller, const void *bytes, size_t count)
 {
-    char size[24];
-    GByteArray *chunk;
+    GByteArray *chunk = g_byte_array_sized_new((guint)count + 32);
 
-    if (count == 0 || caller->head_only) {
-        return;
-    }
-    g_snprintf(size, sizeof(size), "%zx\r\n", count);
-    chunk = g_byte_array_sized_new((guint)count + sizeof(size));
-    bytes_add_text(chunk, size);
-    g_byte_array_append(chunk, bytes, (guint)count);
-    bytes_add_text(chunk, "\r\n");
-    http_connection_send(caller->connection, chunk->data, chunk->len);
-    g_byte_array_unref(chunk);
+    response_framing_add(&caller->framing, bytes, count, chunk);
+    send_message(caller, chunk);
     caller_memory_count(caller);
 }
 
 void
 caller_stream_end(struct caller *caller, bool complete)
 {
+    GByteArray *end = g_byte_array_new();
+
+    complete = response_framing_end(&caller->framing, complete, end);
+    send_message(caller, end);
     if (!complete) {
         end_exchange(caller, false);
         free_caller(caller, true);
         return;
     }
-    http_connection_send(caller->connection, "0\r\n\r\n", strlen("0\r\n\r\n"));
     finish_response(caller, caller->keep_alive);
 }
 
--- a/gateway/callers.h
+++ b/gateway/callers.h
@@ -87,20 +87,29 @@
 /* Number of open connections. */
 uint32_t callers_connections(const struct callers *callers);
 
-/* Responses. head is the status line and the headers, each line with its CRLF,
-   without the blank line and the headers that frame the body. Each function
-   copies its data. The caller must not be used after the response's end. */
+/* Responses, delimited by core/response_framing.h. Each function copies its
+   data. The caller must not be used after the response's end. */
+
+struct caller_response {
+    uint32_t status;
+    /* The status line and the headers, each line with its CRLF, without the
+       blank line and the headers that frame the body. */
+    const struct _GByteArray *head;
+    /* Content-Length of an endpoint's head, for a response without a body. */
+    bool has_length;
+    uint64_t length_bytes;
+};
 
 /* Sends a complete response. */
 void caller_send_response(struct caller *caller,
-                          const struct _GByteArray *head, const void *body,
-                          size_t count);
+                          const struct caller_response *response,
+                          const void *body, size_t count);
 
 /* A response in chunks: its head, any number of chunks, its end. If it ends
    incomplete, the connection is closed without the last chunk, so that the
    caller sees it as truncated. */
 void caller_stream_begin(struct caller *caller,
-                         const struct _GByteArray *head);
+                         const struct caller_response *response);
 void caller_stream_chunk(struct caller *caller, const void *bytes,
                          size_t count);
 void caller_stream_end(struct caller *caller, bool complete);
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -89,6 +89,8 @@
     enum response_state response;
     uint32_t status;
     bool unframed; /* the end of the connection ends the response */
+    bool has_length;
+    uint64_t length_bytes; /* Content-Length, if it has one */
     bool head_sent;
     bool paused; /* the caller's queue is full; the upstream isn't read */
     uint64_t paused_ms;  /* when it was paused last */
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -69,6 +69,7 @@
 relay_local_reply(struct forward *forward, uint32_t status, const char *why)
 {
     GByteArray *head = g_byte_array_new();
+    const struct caller_response response = {.status = status, .head = head};
     bool not_run = status == STATUS_UNAVAILABLE;
     enum gateway_counter counter = COUNT_REFUSED_FINAL;
 
@@ -84,7 +85,7 @@
     platform_http_write_local_reply(
         head, forward->metadata.id,
         not_run ? MAX(MIN_RETRY_AFTER_MS, forward->expected_wait_ms) : 0);
-    caller_send_response(forward->caller, head, "", 0);
+    caller_send_response(forward->caller, &response, "", 0);
     g_byte_array_unref(head);
 }
 
@@ -172,6 +173,8 @@
     }
     forward->status = head->status;
     forward->unframed = head->until_close;
+    forward->has_length = head->has_length;
+    forward->length_bytes = head->length_bytes;
     response_head_copy(forward->response_head, head);
     if (head->status == STATUS_OK && response_head_is_event_stream(head)) {
         forward->response = RESPONSE_EVENTS;
@@ -324,15 +327,26 @@
     begin_response(forward, head);
 }
 
+static struct caller_response
+caller_response(const struct forward *forward)
+{
+    return (struct caller_response){.status = forward->status,
+                                    .head = forward->response_head,
+                                    .has_length = forward->has_length,
+                                    .length_bytes = forward->length_bytes};
+}
+
 static void
 send_response_head(struct forward *forward)
 {
+    struct caller_response response = caller_response(forward);
+
     if (!forward->head_sent) {
         forward->head_sent = true;
         gateway_counters_add_first_ms(forward->metadata.prompt_tokens,
                                       forward_now_ms(forward) -
                                           forward->started_ms);
-        caller_stream_begin(forward->caller, forward->response_head);
+        caller_stream_begin(forward->caller, &response);
     }
 }
 
@@ -476,6 +490,8 @@
                                       forward->digest);
     }
     if (forward->response == RESPONSE_BUFFERED) {
+        struct caller_response response = caller_response(forward);
+
         if (forward->status == STATUS_OK) {
             crash_monitor_record_served(forward->forwarder->deps.crashes,
                                         forward->metadata.shared_parts);
@@ -483,7 +499,7 @@
         gateway_counters_add_first_ms(forward->metadata.prompt_tokens,
                                       forward_now_ms(forward) -
                                           forward->started_ms);
-        caller_send_response(forward->caller, forward->response_head,
+        caller_send_response(forward->caller, &response,
                              forward->response_body->data,
                              forward->response_body->len);
         return;
--- a/gateway/status_server.c
+++ b/gateway/status_server.c
@@ -90,6 +90,7 @@
     GString *text = g_string_new(NULL);
     GString *lines = g_string_new(NULL);
     GByteArray *head = g_byte_array_new();
+    struct caller_response response = {.head = head};
     struct status_reply reply;
 
     (void)body;
@@ -101,7 +102,8 @@
                                reply.retry_after_s);
     }
     bytes_add_text(head, lines->str);
-    caller_send_response(request->caller, head, text->str, text->len);
+    response.status = reply.status;
+    caller_send_response(request->caller, &response, text->str, text->len);
     g_string_free(lines, TRUE);
     g_byte_array_unref(head);
     g_string_free(text, TRUE);
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/response_framing.h"
 #include "io/head_reader.h"
 #include "io/http_message.h"
 #include "io/loop.h"
@@ -203,9 +204,10 @@
     head->keep_alive = http_should_keep_alive(&conn->parser) != 0;
     head->has_length = (conn->parser.flags & F_CONTENTLENGTH) != 0;
     head->length_bytes = head->has_length ? conn->parser.content_length : 0;
-    head->until_close = !conn->server && !head->has_length &&
-                        (conn->parser.flags & F_CHUNKED) == 0 &&
-                        !conn->head_only;
+    head->until_close =
+        !conn->server && !head->has_length &&
+        (conn->parser.flags & F_CHUNKED) == 0 &&
+        response_framing_has_body(conn->head_only, head->status);
 }
 
 static bool
@@ -221,6 +223,14 @@
     return !conn->server && conn->parser.status_code / 100 == 1;
 }
 
+/* Whether the head ends the message, whatever it says of a body. */
+static bool
+skips_body(const struct http_connection *conn)
+{
+    return !conn->server && !response_framing_has_body(
+                                conn->head_only, conn->parser.status_code);
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -231,7 +241,7 @@
     if (is_informational(conn)) {
         conn->informational++;
         if (conn->informational <= MAX_INFORMATIONAL) {
-            return 0;
+            return 1;
         }
         report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
         return -1;
@@ -246,7 +256,7 @@
     if (conn->destroyed) {
         return -1;
     }
-    return conn->head_only ? 1 : 0;
+    return skips_body(conn) ? 1 : 0;
 }
 
 static int
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -122,10 +122,11 @@
 {
     struct fixture *fixture = exchange;
     GByteArray *head = g_byte_array_new();
+    const struct caller_response response = {.status = 503, .head = head};
 
     (void)why;
     bytes_add_text(head, "HTTP/1.1 503 Service Unavailable\r\n");
-    caller_send_response(fixture->caller, head, "", 0);
+    caller_send_response(fixture->caller, &response, "", 0);
     g_byte_array_unref(head);
 }
 
@@ -214,8 +215,9 @@
 send_response(struct fixture *fixture, const char *body)
 {
     GByteArray *head = text_bytes(response_head);
+    const struct caller_response response = {.status = 200, .head = head};
 
-    caller_send_response(fixture->caller, head, body, strlen(body));
+    caller_send_response(fixture->caller, &response, body, strlen(body));
     g_byte_array_unref(head);
 }
 
@@ -223,8 +225,9 @@
 begin_stream(struct fixture *fixture)
 {
     GByteArray *head = text_bytes(response_head);
+    const struct caller_response response = {.status = 200, .head = head};
 
-    caller_stream_begin(fixture->caller, head);
+    caller_stream_begin(fixture->caller, &response);
     g_byte_array_unref(head);
     caller_stream_chunk(fixture->caller, "one", 3);
 }
