An endpoint's status alone is no promise that a request has not run

A request that must run once at most, which an endpoint had run and answered with 408, 429 or 503, was reported to its caller with that status, which callers take for "not run, try again".

Cause: the status was passed on although only Not-Executed, or 421, states that an endpoint has not run a request. Found while looking for the cause of the repeated refusals elsewhere. Now such a request gets 502, which promises nothing. Requests that may be repeated are treated as before.

--- a/gateway/explain.c
+++ b/gateway/explain.c
@@ -22,7 +22,6 @@
 #include "io/loop.h"
 
 enum {
-    STATUS_TOO_MANY_REQUESTS = 429,
     WINDOW_MS = 1000,
     RETRY_AFTER_S = 1,
     /* Endpoints that an answer names: 60 KB, by 18 KB for 78 of them. */
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -159,6 +159,18 @@
            http_head_value(head, "Content-Encoding") == NULL;
 }
 
+/* Whether callers take the status for a promise that the request has not run.
+   Endpoints make that promise in another way (or by 421), so the status alone
+   is not passed on for what must not run twice. */
+static bool
+promises_in_vain(const struct forward *forward, uint32_t status)
+{
+    return forward->admitted.route->execution == CATALOG_AT_MOST_ONCE &&
+           (status == STATUS_REQUEST_TIMEOUT ||
+            status == STATUS_TOO_MANY_REQUESTS ||
+            status == STATUS_UNAVAILABLE);
+}
+
 static void
 begin_response(struct forward *forward, const struct http_head *head)
 {
@@ -324,6 +336,11 @@
                             "failure of the endpoint");
         return;
     }
+    if (promises_in_vain(forward, head->status)) {
+        forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
+                            "may have run, whatever its status says");
+        return;
+    }
     begin_response(forward, head);
 }
 
--- a/gateway/response_head.h
+++ b/gateway/response_head.h
@@ -15,6 +15,8 @@
     STATUS_BAD_REQUEST = 400,
     STATUS_UNAUTHORIZED = 401,
     STATUS_NOT_FOUND = 404,
+    STATUS_REQUEST_TIMEOUT = 408,
+    STATUS_TOO_MANY_REQUESTS = 429,
     /* This status and those above are errors of the server. */
     STATUS_SERVER_ERROR = 500,
     STATUS_BAD_GATEWAY = 502,
--- a/tests/faults/gateway_retry.sh
+++ b/tests/faults/gateway_retry.sh
@@ -24,6 +24,22 @@
 worker_control 1 'fail?on=0'
 worker_control 2 'fail?on=0'
 
+# A worker that ran it and answers with a status that callers take for "not run"
+# does not say so: the gateway passes on no such status.
+for status in 408 429 503; do
+    printf -v answer 'HTTP/1.1 %s S\r\nAttempt-Id: @\r\n%s\r\n' "$status" \
+        $'Content-Length: 0\r\n'
+    for n in 1 2; do
+        fetch -o /dev/null --data-binary "$answer" \
+            "http://$IP:740$n/control/raw?when=resumed"
+    done
+    expect "an unsafe request that ran, answered $status" \
+        "$(call "$GATEWAY" /once/x -d y -H 'Last-Event-Id: 1')" 502
+done
+for n in 1 2; do
+    worker_control "$n" raw
+done
+
 # Another instance responds at the worker's address and does not run the
 # request. The route allows one attempt, so the gateway responds that it was
 # not run.
