--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -69,6 +69,7 @@
 relay_local_reply(struct forward *forward, uint32_t status, const char *why)
 {
     GByteArray *head = g_byte_array_new();
+    const struct caller_response response = {.status = status, .head = head};
     bool not_run = status == STATUS_UNAVAILABLE;
     enum gateway_counter counter = COUNT_REFUSED_FINAL;
 
@@ -84,7 +85,7 @@
     platform_http_write_local_reply(
         head, forward->metadata.id,
         not_run ? MAX(MIN_RETRY_AFTER_MS, forward->expected_wait_ms) : 0);
-    caller_send_response(forward->caller, head, "", 0);
+    caller_send_response(forward->caller, &response, "", 0);
     g_byte_array_unref(head);
 }
 
@@ -151,13 +152,32 @@
            forward_may_retry(forward);
 }
 
+static bool
+can_go_on_with(const struct http_head *head)
+{
+    return head->status == STATUS_OK && response_head_is_event_stream(head) &&
+           http_head_value(head, "Content-Encoding") == NULL;
+}
+
+/* Whether callers take the status for a promise that the request has not run.
+   Endpoints make that promise in another way (or by 421), so the status alone
+   is not passed on for what must not run twice. */
+static bool
+promises_in_vain(const struct forward *forward, uint32_t status)
+{
+    return forward->admitted.route->execution == CATALOG_AT_MOST_ONCE &&
+           (status == STATUS_REQUEST_TIMEOUT ||
+            status == STATUS_TOO_MANY_REQUESTS ||
+            status == STATUS_UNAVAILABLE);
+}
+
 static void
 begin_response(struct forward *forward, const struct http_head *head)
 {
     if (forward->head_sent) {
         /* The stream resumes within the response that was begun already. */
-        if (head->status != STATUS_OK ||
-            !response_head_is_event_stream(head)) {
+        forward->unframed = head->until_close;
+        if (!can_go_on_with(head)) {
             forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                                 "no stream to go on with");
         }
@@ -165,10 +185,12 @@
     }
     forward->status = head->status;
     forward->unframed = head->until_close;
+    forward->has_length = head->has_length;
+    forward->length_bytes = head->length_bytes;
     response_head_copy(forward->response_head, head);
     if (head->status == STATUS_OK && response_head_is_event_stream(head)) {
         forward->response = RESPONSE_EVENTS;
-        forward->events = event_stream_create();
+        forward->events = event_stream_create(forward->metadata.last_event_id);
     }
     else {
         forward->response = RESPONSE_BUFFERED;
@@ -281,13 +303,15 @@
     struct forward *forward = data;
     struct response_metadata metadata;
 
-    platform_http_decode_response(head, forward->metadata.id, &metadata);
-    upstream_set_idle_timeout_s(forward->upstream, metadata.keep_alive_s);
+    platform_http_decode_response(head, forward->metadata.id,
+                                  upstream_is_new(forward->upstream),
+                                  &metadata);
     if (!metadata.matches_request) {
         forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
                             "answer to another request");
         return;
     }
+    upstream_set_idle_timeout_s(forward->upstream, metadata.keep_alive_s);
     if (metadata.not_executed) {
         forward->helper_at_fault =
             find_helper(forward, metadata.failed_endpoint);
@@ -312,18 +336,34 @@
                             "failure of the endpoint");
         return;
     }
+    if (promises_in_vain(forward, head->status)) {
+        forward_end_attempt(forward, ATTEMPT_MAY_HAVE_RUN,
+                            "may have run, whatever its status says");
+        return;
+    }
     begin_response(forward, head);
 }
 
+static struct caller_response
+caller_response(const struct forward *forward)
+{
+    return (struct caller_response){.status = forward->status,
+                                    .head = forward->response_head,
+                                    .has_length = forward->has_length,
+                                    .length_bytes = forward->length_bytes};
+}
+
 static void
 send_response_head(struct forward *forward)
 {
+    struct caller_response response = caller_response(forward);
+
     if (!forward->head_sent) {
         forward->head_sent = true;
         gateway_counters_add_first_ms(forward->metadata.prompt_tokens,
                                       forward_now_ms(forward) -
                                           forward->started_ms);
-        caller_stream_begin(forward->caller, forward->response_head);
+        caller_stream_begin(forward->caller, &response);
     }
 }
 
@@ -467,6 +507,8 @@
                                       forward->digest);
     }
     if (forward->response == RESPONSE_BUFFERED) {
+        struct caller_response response = caller_response(forward);
+
         if (forward->status == STATUS_OK) {
             crash_monitor_record_served(forward->forwarder->deps.crashes,
                                         forward->metadata.shared_parts);
@@ -474,7 +516,7 @@
         gateway_counters_add_first_ms(forward->metadata.prompt_tokens,
                                       forward_now_ms(forward) -
                                           forward->started_ms);
-        caller_send_response(forward->caller, forward->response_head,
+        caller_send_response(forward->caller, &response,
                              forward->response_body->data,
                              forward->response_body->len);
         return;
@@ -513,8 +555,8 @@
     forward_end_attempt(forward, ATTEMPT_UNREAD, "the caller reads slowly");
 }
 
-/* Whether a stream was broken off. One without a length, chunks or any event
-   can't be told from an endpoint that has crashed. */
+/* Whether a stream was broken off, or not gone on with. One without a length,
+   chunks or any event can't be told from an endpoint that has crashed. */
 static bool
 is_cut_short(const struct forward *forward)
 {
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/response_framing.h"
 #include "io/head_reader.h"
 #include "io/http_message.h"
 #include "io/loop.h"
@@ -42,6 +43,7 @@
     bool flush_due; /* flush() is deferred until the present handler returns */
     bool awaiting_next; /* message complete; http_connection_next() is due */
     bool head_only;
+    bool has_extra; /* client: bytes have arrived beyond a response */
     bool in_head;
     uint32_t epoll_events;
     uint32_t informational; /* responses since the last final one */
@@ -202,9 +204,10 @@
     head->keep_alive = http_should_keep_alive(&conn->parser) != 0;
     head->has_length = (conn->parser.flags & F_CONTENTLENGTH) != 0;
     head->length_bytes = head->has_length ? conn->parser.content_length : 0;
-    head->until_close = !conn->server && !head->has_length &&
-                        (conn->parser.flags & F_CHUNKED) == 0 &&
-                        !conn->head_only;
+    head->until_close =
+        !conn->server && !head->has_length &&
+        (conn->parser.flags & F_CHUNKED) == 0 &&
+        response_framing_has_body(conn->head_only, head->status);
 }
 
 static bool
@@ -220,6 +223,14 @@
     return !conn->server && conn->parser.status_code / 100 == 1;
 }
 
+/* Whether the head ends the message, whatever it says of a body. */
+static bool
+skips_body(const struct http_connection *conn)
+{
+    return !conn->server && !response_framing_has_body(
+                                conn->head_only, conn->parser.status_code);
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -230,7 +241,7 @@
     if (is_informational(conn)) {
         conn->informational++;
         if (conn->informational <= MAX_INFORMATIONAL) {
-            return 0;
+            return 1;
         }
         report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
         return -1;
@@ -245,7 +256,7 @@
     if (conn->destroyed) {
         return -1;
     }
-    return conn->head_only ? 1 : 0;
+    return skips_body(conn) ? 1 : 0;
 }
 
 static int
@@ -306,8 +317,9 @@
         if (conn->server) {
             buffer_pipelined(conn, bytes + parsed, count - parsed);
         }
+        conn->has_extra = !conn->server && count > parsed;
         conn->handlers.complete(conn->data);
-        if (!conn->server && count > parsed && !conn->destroyed) {
+        if (conn->has_extra && !conn->destroyed) {
             report_end(conn, HTTP_CONNECTION_UNEXPECTED_BYTES);
         }
         return;
@@ -665,7 +677,7 @@
     uint8_t byte;
     ssize_t count;
 
-    if (conn->fd < 0 || conn->ended) {
+    if (conn->fd < 0 || conn->ended || conn->has_extra) {
         return true;
     }
     count = recv(conn->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/tests/unit/test_mutations.c
+++ b/tests/unit/test_mutations.c
@@ -199,7 +199,7 @@
     GByteArray *out;
 
     if (!exchange->server) {
-        platform_http_decode_response(head, "id", &response);
+        platform_http_decode_response(head, "id", true, &response);
         return;
     }
     out = g_byte_array_new();
@@ -343,7 +343,7 @@
 static void
 parse_events(const GByteArray *input)
 {
-    struct event_stream *stream = event_stream_create();
+    struct event_stream *stream = event_stream_create(NULL);
     GByteArray *events = g_byte_array_new();
 
     event_stream_parse(stream, input->data, input->len, events);
