Gateway: what a peer has acknowledged decides when it is given up

Endpoints that pause for over 1.5 s while they read a long body lost the connection, and the request failed.

Cause: two timers ended connections that make progress. TCP_USER_TIMEOUT runs on while the peer's window is closed or smaller than the next segment, even if the peer answers every probe; it was lifted only while the gateway's own queue was not empty, so not for the bytes that the kernel held. The closing of a connection had limits of its own (2 s, 30 s), counted in bytes that the kernel had accepted.

Now io/peer_watch samples each connection while something is outstanding (SIOCOUTQ, TCP_INFO), and core/peer_progress decides, without I/O: a peer that answers no packet for 5 s (endpoints 1.5 s) is gone; one that answers and takes nothing is given up after 15 s (endpoints 5 s) and the time to read a segment at the least rate. Closing uses the same rule: the end is sent after the queue, and the connection stays a caller's, in its memory account, until that is acknowledged. A caller that closes its own side while it reads gets the rest. Where the system does not tell, TCP_USER_TIMEOUT and what the kernel has accepted serve as before.

test_callers (drain-streams) no longer requires that the connection is gone at once: it is kept until the end is acknowledged. Instead the client must see the close although idle connections stay open for longer than any test, and then the server must have no connection left. Keepalive ends after one lost probe, which is when TCP_USER_TIMEOUT ended it before (2 s).

A machine that is gone is played in virtual time only: no test drops packets.

--- a/gateway/caller_memory.c
+++ b/gateway/caller_memory.c
@@ -8,11 +8,6 @@
 #include "io/http_connection.h"
 #include "io/loop.h"
 
-enum {
-    /* How long a caller that is behind may take nothing. */
-    MAX_STALL_MS = 15000,
-};
-
 void
 caller_memory_count(struct caller *caller)
 {
@@ -81,38 +76,6 @@
     return bytes;
 }
 
-/* The system's timer also ends connections of callers that do read: it runs on
-   while a window is too small for the next segment. While a caller is behind,
-   what it takes counts instead. */
-static void
-check_progress(struct caller *caller, bool behind)
-{
-    uint64_t now_ms = loop_now_ms(caller->callers->loop);
-    uint64_t acknowledged;
-
-    if (behind != caller->behind) {
-        caller->behind = behind;
-        caller->acknowledged_bytes = 0;
-        http_connection_set_user_timeout(caller->connection,
-                                         behind ? 0 : CALLER_USER_TIMEOUT_MS);
-    }
-    if (!behind) {
-        return;
-    }
-    acknowledged = http_connection_acknowledged_bytes(caller->connection);
-    if (acknowledged > caller->acknowledged_bytes) {
-        caller->acknowledged_bytes = acknowledged;
-        caller->progress_ms = now_ms;
-    }
-}
-
-bool
-caller_memory_is_stalled(const struct caller *caller)
-{
-    return caller->behind && loop_now_ms(caller->callers->loop) >=
-                                 caller->progress_ms + MAX_STALL_MS;
-}
-
 bool
 caller_memory_count_kernel(struct caller *caller)
 {
@@ -122,7 +85,6 @@
     if (!buffer_budget_is_bounded(caller->callers->budget)) {
         return behind;
     }
-    check_progress(caller, behind);
     if (behind) {
         buffer_account_set_kernel(caller->account, kernel_bytes(caller));
     }
--- a/gateway/caller_memory.h
+++ b/gateway/caller_memory.h
@@ -20,10 +20,6 @@
    whether that is so. */
 bool caller_memory_count_kernel(struct caller *caller);
 
-/* Whether a caller that is behind has taken nothing for a while, at the last
-   count by caller_memory_count_kernel(). Its connection should be closed. */
-bool caller_memory_is_stalled(const struct caller *caller);
-
 /* Reserves memory for the caller's body; 0 gives it back. Returns false if
    there is none. */
 bool caller_memory_reserve(struct caller *caller, uint64_t bytes);
--- a/gateway/caller_state.h
+++ b/gateway/caller_state.h
@@ -19,12 +19,6 @@
 struct loop;
 struct loop_timer;
 
-enum {
-    /* TCP_USER_TIMEOUT: a connection fails if sent bytes stay unacknowledged
-       for this long. */
-    CALLER_USER_TIMEOUT_MS = 5000,
-};
-
 enum caller_state {
     CALLER_IDLE,      /* no request has begun */
     CALLER_HEAD,      /* a head is being read */
@@ -32,6 +26,7 @@
     CALLER_WAITING,   /* the response has not begun */
     CALLER_STREAMING, /* a streamed response is being sent */
     CALLER_LINGER,    /* responded early; the rest is read and dropped */
+    CALLER_CLOSING,   /* closed when what was sent is taken */
 };
 
 struct caller {
@@ -40,12 +35,9 @@
     struct loop_timer *timer;
     enum caller_state state;
     bool keep_alive;
-    bool head_only; /* HEAD: the response has no body */
-    bool behind;    /* had not taken all that was queued when last checked */
-    uint64_t acknowledged_bytes; /* while it is behind */
-    uint64_t progress_ms;        /* when these have risen last */
-    bool drops_queue;            /* what it has not taken is not sent to it */
-    void *exchange; /* the handlers'; NULL: none, or ended() was called */
+    bool head_only;   /* HEAD: the response has no body */
+    bool drops_queue; /* what it has not taken is not sent to it */
+    void *exchange;   /* the handlers'; NULL: none, or ended() was called */
     GByteArray *body;
     uint64_t body_started_ms;
     struct buffer_account *account; /* NULL: nothing is counted */
--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -40,6 +40,12 @@
     MAX_ACCEPTS = 32,
     /* With a budget: what the kernel may hold unsent for a caller. */
     MAX_UNSENT_BYTES = 16 * 1024,
+    /* When a caller is given up that does not take what is sent to it. One
+       that answers no packet for 5 s has most likely left with its machine;
+       one that answers may be busy. */
+    MAX_SILENCE_MS = 5000,
+    MAX_STALL_MS = 15000,
+    MIN_READ_BYTES_PER_S = 1024,
 };
 
 /* When the bytes of the body so far are due, at the least rate. */
@@ -73,6 +79,7 @@
         break;
     case CALLER_WAITING:
     case CALLER_STREAMING:
+    case CALLER_CLOSING:
         loop_timer_disarm(caller->timer);
         break;
     }
@@ -97,28 +104,33 @@
 }
 
 static void
-free_caller(struct caller *caller, bool flush)
+free_caller(struct caller *caller)
 {
-    bool keeps_queue = flush && !caller->drops_queue;
-
     g_hash_table_remove(caller->callers->connections, caller);
-    if (keeps_queue) {
-        http_connection_close(caller->connection);
-    }
-    else {
-        http_connection_destroy(caller->connection);
-    }
+    http_connection_destroy(caller->connection);
     loop_timer_destroy(caller->timer);
     buffer_account_destroy(caller->account);
     g_byte_array_unref(caller->body);
     g_free(caller);
 }
 
+/* Ends the connection when the caller has taken what was sent to it. */
+static void
+close_caller(struct caller *caller)
+{
+    if (caller->drops_queue) {
+        free_caller(caller);
+        return;
+    }
+    set_state(caller, CALLER_CLOSING);
+    http_connection_finish(caller->connection);
+}
+
 static void
 disconnect(struct caller *caller)
 {
     end_exchange(caller, true);
-    free_caller(caller, false);
+    free_caller(caller);
 }
 
 /* Whether a response that begins now leaves the connection open. */
@@ -206,7 +218,7 @@
     struct caller *caller = data;
 
     if (caller->state == CALLER_LINGER) {
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     if (caller->account != NULL) {
@@ -223,6 +235,15 @@
     bool reading =
         caller->state == CALLER_HEAD || caller->state == CALLER_IDLE;
 
+    if (end == HTTP_CONNECTION_STALLED || end == HTTP_CONNECTION_SILENT) {
+        gateway_counters_count(COUNT_READERS_STALLED);
+    }
+    /* A caller that sends nothing more may still read. */
+    if (end == HTTP_CONNECTION_CLOSED && caller->exchange == NULL &&
+        !http_connection_is_taken(caller->connection)) {
+        close_caller(caller);
+        return;
+    }
     if (end == HTTP_CONNECTION_HEAD_TOO_BIG && reading) {
         reject(caller, "HTTP/1.1 431 Request Header Fields Too Large\r\n");
         return;
@@ -245,6 +266,16 @@
     }
 }
 
+static void
+on_taken(void *data)
+{
+    struct caller *caller = data;
+
+    if (caller->state == CALLER_CLOSING) {
+        free_caller(caller);
+    }
+}
+
 static void
 on_timer(void *data, uint64_t now_ms)
 {
@@ -256,7 +287,11 @@
         reject(caller, "HTTP/1.1 408 Request Timeout\r\n");
         return;
     }
-    free_caller(caller, false);
+    if (caller->state == CALLER_IDLE) {
+        free_caller(caller);
+        return;
+    }
+    close_caller(caller);
 }
 
 static const struct http_connection_handlers connection_handlers = {
@@ -266,6 +301,7 @@
     .complete = on_complete,
     .ended = on_ended,
     .all_sent = on_all_sent,
+    .taken = on_taken,
 };
 
 static void
@@ -275,7 +311,9 @@
         callers->budget != NULL && buffer_budget_is_bounded(callers->budget);
     const struct http_connection_settings settings = {
         .max_head_bytes = callers->limits.max_head_bytes,
-        .user_timeout_ms = CALLER_USER_TIMEOUT_MS,
+        .peer = {.max_silence_ms = MAX_SILENCE_MS,
+                 .max_stall_ms = MAX_STALL_MS,
+                 .min_bytes_per_s = MIN_READ_BYTES_PER_S},
         .max_unsent_bytes = bounded ? MAX_UNSENT_BYTES : 0};
     struct caller *caller = g_new0(struct caller, 1);
 
@@ -377,7 +415,7 @@
         caller_give_up(caller, "the caller does not read");
         return;
     }
-    free_caller(caller, false);
+    free_caller(caller);
 }
 
 uint32_t
@@ -386,25 +424,16 @@
     uint64_t now_ms = loop_now_ms(callers->loop);
     uint32_t behind = 0;
     struct buffer_account *excess;
-    GPtrArray *stalled;
     GHashTableIter iter;
     gpointer value;
 
     if (callers->budget == NULL) {
         return 0;
     }
-    stalled = g_ptr_array_new();
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         behind += caller_memory_count_kernel(value) ? 1 : 0;
-        if (caller_memory_is_stalled(value)) {
-            g_ptr_array_add(stalled, value);
-        }
-    }
-    for (guint i = 0; i < stalled->len; i++) {
-        disconnect(g_ptr_array_index(stalled, i));
     }
-    g_ptr_array_free(stalled, TRUE);
     while ((excess = buffer_budget_excess(callers->budget, now_ms)) != NULL) {
         end_excess(buffer_account_owner(excess));
     }
@@ -481,7 +510,7 @@
         }
     }
     for (guint i = 0; i < idle->len; i++) {
-        free_caller(g_ptr_array_index(idle, i), true);
+        close_caller(g_ptr_array_index(idle, i));
     }
     g_ptr_array_free(idle, TRUE);
 }
@@ -504,7 +533,7 @@
             return false;
         }
     }
-    return http_connection_closing_count() == 0;
+    return true;
 }
 
 uint32_t
@@ -536,7 +565,7 @@
         return;
     }
     if (!open || !listening || caller->drops_queue) {
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     caller_memory_count(caller);
@@ -601,7 +630,7 @@
 {
     if (!complete) {
         end_exchange(caller, false);
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     http_connection_send(caller->connection, "0\r\n\r\n", strlen("0\r\n\r\n"));
--- a/gateway/gateway_counters.c
+++ b/gateway/gateway_counters.c
@@ -22,6 +22,7 @@
     [COUNT_QUARANTINED] = "quarantined_total",
     [COUNT_BODIES_REFUSED] = "bodies_refused_total",
     [COUNT_READERS_ENDED] = "readers_ended_total",
+    [COUNT_READERS_STALLED] = "readers_stalled_total",
     [COUNT_UNREAD] = "unread_total",
     [COUNT_DELAYED] = "delayed_total",
     [COUNT_REFUSED_FOR_ROOM] = "refused_for_room_total",
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -373,9 +373,7 @@
 check_memory(struct gateway *gateway)
 {
     if (buffer_budget_is_bounded(gateway->budget)) {
-        buffer_budget_set_shared(gateway->budget,
-                                 link_queued_bytes() +
-                                     http_connection_closing_bytes());
+        buffer_budget_set_shared(gateway->budget, link_queued_bytes());
     }
     gateway->slow_readers = callers_check_memory(gateway->callers);
 }
--- a/gateway/upstreams.c
+++ b/gateway/upstreams.c
@@ -21,9 +21,14 @@
     /* Idle time up to which a connection is reused for a request that must not
        run twice. */
     AT_MOST_ONCE_IDLE_MS = 400,
-    /* TCP_USER_TIMEOUT: if sent bytes stay unacknowledged for this long, the
-       endpoint's instance is taken to be gone and the connection fails. */
-    USER_TIMEOUT_MS = 1500,
+    /* If an endpoint answers no packet for this long, its machine is taken to
+       be gone. One that answers and reads nothing of a body may be busy, or
+       stand still; another one can then still be tried within most time
+       limits. One that reads at the rate at which large bodies must arrive
+       goes on. */
+    MAX_SILENCE_MS = 1500,
+    MAX_STALL_MS = 5000,
+    MIN_READ_BYTES_PER_S = 64 * 1024,
     TCP_KEEPALIVE_S = 1,
     MAX_HEAD_BYTES = 64 * 1024,
     MS_PER_S = 1000,
@@ -329,7 +334,9 @@
     uint32_t receive_bytes = upstreams->receive_buffer_bytes;
     const struct http_connection_settings settings = {
         .max_head_bytes = MAX_HEAD_BYTES,
-        .user_timeout_ms = USER_TIMEOUT_MS,
+        .peer = {.max_silence_ms = MAX_SILENCE_MS,
+                 .max_stall_ms = MAX_STALL_MS,
+                 .min_bytes_per_s = MIN_READ_BYTES_PER_S},
         .keepalive_s = TCP_KEEPALIVE_S,
         .max_unsent_bytes = receive_bytes > 0 ? MAX_UNSENT_BYTES : 0,
         .receive_buffer_bytes = receive_bytes};
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -12,6 +12,7 @@
 #include "io/head_reader.h"
 #include "io/http_message.h"
 #include "io/loop.h"
+#include "io/peer_watch.h"
 #include "io/send_queue.h"
 #include "io/socket_options.h"
 
@@ -20,11 +21,10 @@
     /* Limit of buffered requests that arrive while an earlier one is being
        processed; beyond it, reading stops. */
     MAX_PIPELINED_BYTES = 64 * 1024,
-    /* A closing connection sends its queue as long as the peer takes some of
-       it within the one time, up to the other. */
-    CLOSE_PAUSE_MS = 2000,
-    CLOSE_LIMIT_MS = 30000,
-    KEEPALIVE_PROBES = 2,
+    /* TCP_USER_TIMEOUT, where it has to serve, takes the place of the number:
+       the connection fails at the second probe as well. */
+    KEEPALIVE_PROBES = 1,
+    KEEPALIVE_PROBES_WITH_TIMEOUT = 2,
     /* Informational responses (1xx) before the final one. */
     MAX_INFORMATIONAL = 16,
     MAX_HEADERS = 512,
@@ -36,7 +36,8 @@
     bool server;
     bool connecting;
     bool ended;     /* nothing more is received; ended was reported */
-    bool closing;   /* is destroyed when the queue is empty */
+    bool finishing; /* the end is due after the queue, or was sent */
+    bool end_sent;
     bool destroyed; /* freed by deferred_timer */
     bool paused;
     bool flush_due; /* flush() is deferred until the present handler returns */
@@ -45,7 +46,6 @@
     bool in_head;
     uint32_t epoll_events;
     uint32_t informational; /* responses since the last final one */
-    uint64_t close_limit_ms;
     struct http_connection_settings settings;
     struct http_connection_handlers handlers;
     void *data;
@@ -53,34 +53,12 @@
     struct head_reader *head;
     GByteArray *pipelined;
     struct send_queue *out;
+    struct peer_watch *peer;
     struct loop_timer *deferred_timer;
 };
 
-/* Connections of this process that are closing. Only the thread that calls
-   http_connection_close() uses it. */
-static GQueue closing_connections = G_QUEUE_INIT;
-
 static void update_events(struct http_connection *conn);
 
-uint32_t
-http_connection_closing_count(void)
-{
-    return closing_connections.length;
-}
-
-size_t
-http_connection_closing_bytes(void)
-{
-    size_t sum = 0;
-
-    for (const GList *at = closing_connections.head; at != NULL;
-         at = at->next) {
-        sum += http_connection_held_bytes(at->data) +
-               http_connection_kernel_bytes(at->data);
-    }
-    return sum;
-}
-
 const char *
 http_connection_end_text(enum http_connection_end end)
 {
@@ -97,6 +75,10 @@
         return "head too big";
     case HTTP_CONNECTION_UNEXPECTED_BYTES:
         return "bytes beyond the answer";
+    case HTTP_CONNECTION_STALLED:
+        return "the peer takes nothing";
+    case HTTP_CONNECTION_SILENT:
+        return "the peer answers no packet";
     }
     return "";
 }
@@ -107,6 +89,7 @@
     loop_timer_destroy(conn->deferred_timer);
     head_reader_destroy(conn->head);
     g_byte_array_unref(conn->pipelined);
+    peer_watch_destroy(conn->peer);
     send_queue_destroy(conn->out);
     g_free(conn);
 }
@@ -119,6 +102,8 @@
         close(conn->fd);
         conn->fd = -1;
     }
+    peer_watch_destroy(conn->peer);
+    conn->peer = NULL;
 }
 
 void
@@ -129,9 +114,6 @@
     }
     close_socket(conn);
     conn->destroyed = true;
-    if (conn->closing) {
-        g_queue_remove(&closing_connections, conn);
-    }
     /* A handler of this connection may call this, so it is freed later. */
     loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
 }
@@ -143,14 +125,47 @@
         return;
     }
     conn->ended = true;
-    if (conn->closing) {
-        http_connection_destroy(conn);
-        return;
-    }
     update_events(conn);
     conn->handlers.ended(conn->data, end);
 }
 
+static void
+report_taken(struct http_connection *conn)
+{
+    if (!conn->destroyed && conn->handlers.taken != NULL) {
+        conn->handlers.taken(conn->data);
+    }
+}
+
+/* Nothing more can be sent. */
+static void
+report_failure(struct http_connection *conn, enum http_connection_end end)
+{
+    if (!conn->ended) {
+        report_end(conn, end);
+        return;
+    }
+    close_socket(conn);
+    report_taken(conn);
+}
+
+static void
+on_peer_report(void *data, enum peer_state state)
+{
+    struct http_connection *conn = data;
+
+    switch (state) {
+    case PEER_STALLED:
+        report_failure(conn, HTTP_CONNECTION_STALLED);
+        break;
+    case PEER_SILENT:
+        report_failure(conn, HTTP_CONNECTION_SILENT);
+        break;
+    default:
+        report_taken(conn);
+    }
+}
+
 /* Callbacks of http-parser. */
 
 static int
@@ -329,6 +344,9 @@
 static void
 handle_bytes(struct http_connection *conn, const uint8_t *bytes, size_t count)
 {
+    if (conn->finishing) {
+        return;
+    }
     if (!conn->awaiting_next) {
         parse(conn, bytes, count);
         return;
@@ -371,11 +389,14 @@
 }
 
 static void
-arm_close_timer(struct http_connection *conn)
+send_end(struct http_connection *conn)
 {
-    loop_timer_arm(
-        conn->deferred_timer,
-        MIN(loop_now_ms(conn->loop) + CLOSE_PAUSE_MS, conn->close_limit_ms));
+    conn->end_sent = true;
+    if (!socket_send_end(conn->fd)) {
+        loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
+        return;
+    }
+    peer_watch_finish(conn->peer);
 }
 
 static void
@@ -387,15 +408,12 @@
         /* Reported later, not from within a call of the owner. */
         loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
     }
-    else if (conn->closing && sent > 0) {
-        arm_close_timer(conn);
-    }
     update_events(conn);
     if (sent == 0 || send_queue_length(conn->out) > 0) {
         return;
     }
-    if (conn->closing) {
-        http_connection_destroy(conn);
+    if (conn->finishing) {
+        send_end(conn);
     }
     else if (conn->handlers.all_sent != NULL) {
         conn->handlers.all_sent(conn->data);
@@ -425,12 +443,14 @@
     struct http_connection *conn = data;
 
     (void)fd;
+    if (conn->ended && conn->end_sent && (events & EPOLLERR) == 0) {
+        /* Both sides have sent their end, which epoll reports again and again.
+           The peer may still have bytes to take. */
+        loop_unwatch(conn->loop, conn->fd);
+        return;
+    }
     if (conn->ended && (events & (EPOLLHUP | EPOLLERR)) != 0) {
-        /* Nothing can be sent any more. */
-        close_socket(conn);
-        if (conn->closing) {
-            http_connection_destroy(conn);
-        }
+        report_failure(conn, HTTP_CONNECTION_RESET);
         return;
     }
     if (conn->connecting) {
@@ -469,8 +489,7 @@
     }
 }
 
-/* Fires for a destroyed connection, for a closing one whose peer does not take
-   the queue in time, and for a failed write. */
+/* Fires for a destroyed connection and for a failed write. */
 static void
 on_deferred_timer(void *data, uint64_t now_ms)
 {
@@ -481,7 +500,20 @@
         free_connection(conn);
         return;
     }
-    report_end(conn, HTTP_CONNECTION_RESET);
+    report_failure(conn, HTTP_CONNECTION_RESET);
+}
+
+static void
+watch_peer(struct http_connection *conn)
+{
+    const struct peer_watch_settings settings = {.fd = conn->fd,
+                                                 .limits = conn->settings.peer,
+                                                 .spares_readers =
+                                                     conn->server,
+                                                 .report = on_peer_report,
+                                                 .data = conn};
+
+    conn->peer = peer_watch_create(conn->loop, conn->out, &settings);
 }
 
 static void
@@ -490,12 +522,11 @@
     const struct http_connection_settings *settings = &conn->settings;
 
     socket_send_at_once(conn->fd);
-    if (settings->user_timeout_ms > 0) {
-        socket_limit_unacknowledged(conn->fd, settings->user_timeout_ms);
-    }
     if (settings->keepalive_s > 0) {
-        socket_probe_idle(conn->fd, settings->keepalive_s,
-                          settings->keepalive_s, KEEPALIVE_PROBES);
+        socket_probe_idle(
+            conn->fd, settings->keepalive_s, settings->keepalive_s,
+            peer_watch_is_told(conn->peer) ? KEEPALIVE_PROBES
+                                           : KEEPALIVE_PROBES_WITH_TIMEOUT);
     }
     if (settings->max_unsent_bytes > 0) {
         socket_limit_unsent(conn->fd, settings->max_unsent_bytes);
@@ -523,6 +554,7 @@
     conn->out = send_queue_create();
     conn->deferred_timer = loop_timer_create(loop, on_deferred_timer, conn);
     conn->epoll_events = server ? EPOLLIN : EPOLLOUT;
+    watch_peer(conn);
     set_socket_options(conn);
     if (!loop_watch(loop, fd, conn->epoll_events, on_socket_event, conn)) {
         close(fd);
@@ -573,6 +605,7 @@
 static void
 flush_later(struct http_connection *conn)
 {
+    peer_watch_sent(conn->peer);
     if (!conn->connecting && !conn->flush_due &&
         (conn->epoll_events & EPOLLOUT) == 0) {
         conn->flush_due = true;
@@ -612,21 +645,16 @@
     return send_queue_own_length(conn->out) + conn->pipelined->len;
 }
 
-uint64_t
-http_connection_acknowledged_bytes(const struct http_connection *conn)
+bool
+http_connection_is_taken(const struct http_connection *conn)
 {
-    uint64_t taken = send_queue_taken_bytes(conn->out);
-
-    return taken - (conn->fd >= 0 ? socket_unacknowledged_bytes(conn->fd) : 0);
+    return conn->peer == NULL || peer_watch_is_taken(conn->peer);
 }
 
-void
-http_connection_set_user_timeout(const struct http_connection *conn,
-                                 uint32_t timeout_ms)
+uint64_t
+http_connection_pause_ms(const struct http_connection *conn)
 {
-    if (conn->fd >= 0) {
-        socket_limit_unacknowledged(conn->fd, timeout_ms);
-    }
+    return conn->peer != NULL ? peer_watch_pause_ms(conn->peer) : 0;
 }
 
 size_t
@@ -673,14 +701,17 @@
 }
 
 void
-http_connection_close(struct http_connection *conn)
+http_connection_finish(struct http_connection *conn)
 {
-    if (conn->fd < 0 || send_queue_length(conn->out) == 0) {
-        http_connection_destroy(conn);
-        return;
+    conn->finishing = true;
+    conn->paused = false;
+    g_byte_array_set_size(conn->pipelined, 0);
+    update_events(conn);
+    if (conn->fd < 0) {
+        conn->ended = true;
+        loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
+    }
+    else if (send_queue_length(conn->out) == 0 && !conn->end_sent) {
+        send_end(conn);
     }
-    conn->closing = true;
-    g_queue_push_tail(&closing_connections, conn);
-    conn->close_limit_ms = loop_now_ms(conn->loop) + CLOSE_LIMIT_MS;
-    arm_close_timer(conn);
 }
--- a/io/http_connection.h
+++ b/io/http_connection.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "core/peer_progress.h"
+
 /* Server or client side of one HTTP/1.1 connection on the event loop. Received
    messages are parsed by http-parser and reported piece by piece; bytes to
    send are formatted by the owner and queued. Nothing is sent that the owner
@@ -25,6 +27,8 @@
     HTTP_CONNECTION_HEAD_TOO_BIG,
     /* Client: bytes have arrived when no response was due. */
     HTTP_CONNECTION_UNEXPECTED_BYTES,
+    HTTP_CONNECTION_STALLED, /* the peer takes nothing of what is sent */
+    HTTP_CONNECTION_SILENT,  /* the peer answers no packet */
 };
 
 /* Short static text for logs. */
@@ -48,13 +52,18 @@
     void (*ended)(void *data, enum http_connection_end end);
     /* The kernel has taken all queued bytes. May be NULL. */
     void (*all_sent)(void *data);
+    /* The peer has acknowledged all bytes; or, after ended(), what is left
+       can't be delivered. May be NULL. */
+    void (*taken)(void *data);
 };
 
 struct http_connection_settings {
     uint32_t max_head_bytes;
-    /* How long sent bytes may stay unacknowledged before the connection
-       fails (TCP_USER_TIMEOUT); 0: the system's default. */
-    uint32_t user_timeout_ms;
+    /* When the connection fails since the peer does not take what is sent. A
+       system that does not tell what a peer has acknowledged applies
+       max_silence_ms itself (TCP_USER_TIMEOUT), and what it has accepted
+       counts as taken. */
+    struct peer_limits peer;
     /* Idle time before the first TCP keepalive probe, and the interval between
        probes; 0: no keepalive. */
     uint32_t keepalive_s;
@@ -100,13 +109,12 @@
    and requests that arrived ahead. */
 size_t http_connection_held_bytes(const struct http_connection *conn);
 
-/* Number of bytes that the peer has acknowledged; a system call. */
-uint64_t
-http_connection_acknowledged_bytes(const struct http_connection *conn);
+/* Whether the peer has acknowledged all bytes; a system call unless that is
+   known. */
+bool http_connection_is_taken(const struct http_connection *conn);
 
-/* Replaces user_timeout_ms of the settings. */
-void http_connection_set_user_timeout(const struct http_connection *conn,
-                                      uint32_t timeout_ms);
+/* How long the peer had taken nothing of what is sent, at the last check. */
+uint64_t http_connection_pause_ms(const struct http_connection *conn);
 
 /* Memory that the kernel holds for the socket; a system call. */
 size_t http_connection_kernel_bytes(const struct http_connection *conn);
@@ -122,16 +130,10 @@
    has sent bytes on it. */
 bool http_connection_is_stale(const struct http_connection *conn);
 
-/* Closes the connection and frees it when the queue is sent, when the peer
-   takes nothing of it for 2 s, or after 30 s. Only
-   for a connection whose message is complete and whose end was not reported:
-   then no handler is called any more. */
-void http_connection_close(struct http_connection *conn);
-/* Number of connections that http_connection_close() has not freed yet. Only
-   one thread of a process closes connections in this way. */
-uint32_t http_connection_closing_count(void);
-/* Memory that they and the kernel hold for them; a system call for each. */
-size_t http_connection_closing_bytes(void);
+/* Sends the end of the connection after what is queued. What arrives is
+   dropped. taken() or ended() is called when the peer has taken all of that,
+   or will not. */
+void http_connection_finish(struct http_connection *conn);
 
 /* Closes the connection immediately; no handler is called any more. The
    memory is freed later, from a timer of the loop. */
--- a/io/socket_options.c
+++ b/io/socket_options.c
@@ -10,6 +10,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+enum {
+    /* A probe of a closed window that is on its way is no sign of silence, nor
+       is a single lost one: the next one may be sent seconds later. */
+    MIN_LOST_PROBES = 2,
+};
+
 static void
 set_option(int fd, int level, int option, uint32_t value)
 {
@@ -75,12 +81,30 @@
     set_option(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, bytes);
 }
 
-uint32_t
-socket_unacknowledged_bytes(int fd)
+bool
+socket_ask_peer(int fd, struct socket_peer *peer)
 {
+    struct tcp_info info = {0};
+    socklen_t length = sizeof(info);
     int count = 0;
 
-    return ioctl(fd, SIOCOUTQ, &count) == 0 ? (uint32_t)count : 0;
+    if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) != 0 ||
+        info.tcpi_state == 0 || ioctl(fd, SIOCOUTQ, &count) != 0) {
+        return false;
+    }
+    peer->unacknowledged_bytes = (uint32_t)count;
+    peer->unanswered =
+        info.tcpi_unacked > 0 || info.tcpi_probes >= MIN_LOST_PROBES;
+    peer->answered_ago_ms = info.tcpi_last_ack_recv;
+    peer->segment_bytes = info.tcpi_snd_mss;
+    peer->closed = info.tcpi_state == TCP_CLOSE;
+    return true;
+}
+
+bool
+socket_send_end(int fd)
+{
+    return shutdown(fd, SHUT_WR) == 0;
 }
 
 uint32_t
--- a/io/socket_options.h
+++ b/io/socket_options.h
@@ -1,6 +1,7 @@
 #ifndef IO_SOCKET_OPTIONS_H
 #define IO_SOCKET_OPTIONS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* TCP sockets and their options. Failures to set an option are ignored: a
@@ -30,9 +31,21 @@
    peers are not slowed down. */
 void socket_limit_unsent(int fd, uint32_t bytes);
 
-/* Bytes that were sent to the socket and that the peer has not acknowledged.
- */
-uint32_t socket_unacknowledged_bytes(int fd);
+/* What the system knows of the peer of a connection. */
+struct socket_peer {
+    uint32_t unacknowledged_bytes; /* sent, and not acknowledged */
+    bool unanswered;               /* packets are sent, and not answered yet */
+    uint32_t answered_ago_ms;      /* since the last answer to any packet */
+    uint32_t segment_bytes;        /* largest that is sent */
+    bool closed;                   /* nothing more can be sent */
+};
+
+/* Returns false if the system does not say. */
+bool socket_ask_peer(int fd, struct socket_peer *peer);
+
+/* Sends the end of the connection after all bytes. Returns false if that is
+   not possible any more. */
+bool socket_send_end(int fd);
 
 /* Memory that the kernel holds for the socket: received and not yet read, sent
    and not yet acknowledged, and not yet sent. 0 if it does not say. */
--- a/tests/fakes/slow_callers.c
+++ b/tests/fakes/slow_callers.c
@@ -3,7 +3,10 @@
    --rate bytes of it a second; with it, each sends
    a request with a body of so many bytes, --rate bytes of it a second, and
    reads the response. --count callers ask --ip and --port for --path. Rate 0:
-   as fast as possible. It prints "ready" when all are connected, and when
+   as fast as possible. --receive is the size of their receive buffers, and
+   each pauses for --pause ms after its first read. It prints "ready" when all
+   are connected, "ended whole=N cut=N" when all responses have ended, cut
+   without their last chunk, and when
    SIGTERM ends it, how many callers got status 200, got 503 with Retry-After,
    and were disconnected without either. */
 
@@ -30,10 +33,16 @@
     ROUND_MS = 100,
     OPEN_PAUSE_US = 2000,
     ROUNDS_PER_S = 10,
+    END_BYTES = 7,
 };
 
+static const char response_end[] = "\r\n0\r\n\r\n";
+
 struct caller {
     struct pollfd *poll;
+    int paused_rounds;
+    bool whole;
+    char tail[END_BYTES]; /* of the response */
     size_t unsent;
     size_t head_bytes;
     char head[HEAD_BYTES]; /* of the response */
@@ -52,10 +61,9 @@
 
 static void
 open_caller(struct caller *caller, const char *ip, uint16_t port,
-            const char *path, size_t body_bytes)
+            const char *path, size_t body_bytes, int buffer_bytes)
 {
     struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
-    int buffer_bytes = RECEIVE_BUFFER_BYTES;
     int segment_bytes = SEGMENT_BYTES;
     char head[HEAD_BYTES];
     int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -83,19 +91,25 @@
 static void
 receive_part(struct caller *caller, size_t max)
 {
-    char part[PART_BYTES];
-    ssize_t count = recv(caller->poll->fd, part, max, 0);
+    char part[END_BYTES + PART_BYTES];
+    char *bytes = part + END_BYTES;
+    ssize_t count = recv(caller->poll->fd, bytes, max, 0);
 
     if (count == 0 || (count < 0 && errno != EAGAIN)) {
         close(caller->poll->fd);
         caller->poll->fd = -1;
         return;
     }
+    if (count > 0) {
+        memcpy(part, caller->tail, END_BYTES);
+        memcpy(caller->tail, part + count, END_BYTES);
+        caller->whole = memcmp(caller->tail, response_end, END_BYTES) == 0;
+    }
     if (count > 0 && caller->head_bytes + 1 < HEAD_BYTES) {
         size_t kept = HEAD_BYTES - 1 - caller->head_bytes;
 
         kept = (size_t)count < kept ? (size_t)count : kept;
-        memcpy(caller->head + caller->head_bytes, part, kept);
+        memcpy(caller->head + caller->head_bytes, bytes, kept);
         caller->head_bytes += kept;
     }
 }
@@ -142,19 +156,41 @@
     printf("ok=%d refused=%d dropped=%d\n", ok, refused, dropped);
 }
 
+/* Prints once how the responses have ended, when all have. */
+static void
+print_ends(int count)
+{
+    static bool printed;
+    int whole = 0;
+    int cut = 0;
+
+    for (int i = 0; i < count; i++) {
+        whole += callers[i].whole ? 1 : 0;
+        cut += !callers[i].whole && polls[i].fd < 0 ? 1 : 0;
+    }
+    if (!printed && whole + cut == count) {
+        printed = true;
+        printf("ended whole=%d cut=%d\n", whole, cut);
+        fflush(stdout);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     const char *ip = "";
     const char *path = "/";
-    unsigned long values[] = {0, 0, 0, 0};
-    static const char *const names[] = {"--port", "--count", "--rate",
-                                        "--body"};
+    unsigned long values[] = {0, 0, 0, 0, RECEIVE_BUFFER_BYTES, 0};
+    static const char *const names[] = {"--port", "--count",   "--rate",
+                                        "--body", "--receive", "--pause"};
+    enum {
+        VALUES = sizeof(values) / sizeof(values[0])
+    };
     int count;
     size_t part;
 
     for (int i = 1; i + 1 < argc; i += 2) {
-        for (size_t k = 0; k < 4; k++) {
+        for (size_t k = 0; k < VALUES; k++) {
             if (strcmp(argv[i], names[k]) == 0) {
                 values[k] = strtoul(argv[i + 1], NULL, 10);
             }
@@ -168,7 +204,9 @@
     signal(SIGTERM, on_signal);
     for (int i = 0; i < count; i++) {
         callers[i].poll = &polls[i];
-        open_caller(&callers[i], ip, (uint16_t)values[0], path, values[3]);
+        callers[i].paused_rounds = (int)values[5] / ROUND_MS;
+        open_caller(&callers[i], ip, (uint16_t)values[0], path, values[3],
+                    (int)values[4]);
         usleep(OPEN_PAUSE_US);
     }
     printf("ready\n");
@@ -183,16 +221,21 @@
             if (polls[i].fd >= 0 && (polls[i].revents & POLLOUT) != 0) {
                 send_part(&callers[i], part);
             }
-            if (polls[i].fd >= 0 && (polls[i].revents & ~POLLOUT) != 0) {
+            if (callers[i].head_bytes > 0 && callers[i].paused_rounds > 0) {
+                callers[i].paused_rounds--;
+            }
+            else if (polls[i].fd >= 0 && (polls[i].revents & ~POLLOUT) != 0) {
                 receive_part(&callers[i], part);
             }
             if (values[3] == 0 && has_status(&callers[i], "503")) {
                 close(polls[i].fd);
                 memset(callers[i].head, 0, sizeof(callers[i].head));
                 callers[i].head_bytes = 0;
-                open_caller(&callers[i], ip, (uint16_t)values[0], path, 0);
+                open_caller(&callers[i], ip, (uint16_t)values[0], path, 0,
+                            (int)values[4]);
             }
         }
+        print_ends(count);
         if (values[2] > 0) {
             usleep(ROUND_MS * 1000);
         }
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -22,7 +22,7 @@
     SEND_INTERVAL_MS = 20,
     MAX_SENDS = 200,               /* then the test client gives up */
     LARGE_BYTES = 8 * 1024 * 1024, /* more than the kernel keeps */
-    READ_INTERVAL_MS = 100,
+    READ_INTERVAL_MS = 50,
     SLOW_READ_BYTES = 160 * 1024,
     MAX_HELD_BYTES = 4 * BUFFER_SMALL_BODY_BYTES,
 };
@@ -203,6 +203,23 @@
     loop_run(fixture->loop);
 }
 
+static void
+stop_loop(void *data, uint64_t now_ms)
+{
+    (void)now_ms;
+    loop_stop(data);
+}
+
+/* Runs the loop until the server has no connection any more. */
+static void
+run_until_closed(struct fixture *fixture)
+{
+    while (callers_connections(fixture->callers) > 0) {
+        loop_post(fixture->loop, stop_loop, fixture->loop);
+        loop_run(fixture->loop);
+    }
+}
+
 static GByteArray *
 text_bytes(const char *text)
 {
@@ -258,13 +275,6 @@
     caller_stream_end(fixture->caller, true);
 }
 
-static void
-stop_loop(void *data, uint64_t now_ms)
-{
-    (void)now_ms;
-    loop_stop(data);
-}
-
 static void
 destroy_fixture(struct fixture *fixture)
 {
@@ -321,8 +331,12 @@
 static void
 test_drain_ends_connections_of_streams(void)
 {
+    const struct catalog_limits limits = {.max_head_bytes = READ_BYTES,
+                                          .idle_timeout_ms = UINT32_MAX};
     struct fixture *fixture = create_fixture();
 
+    /* An idle connection stays open for longer than any test. */
+    callers_set_limits(fixture->callers, &limits);
     send_text(fixture, "GET /a HTTP/1.1\r\n\r\n");
     run_until(fixture, NULL);
     begin_stream(fixture);
@@ -330,9 +344,11 @@
     callers_drain(fixture->callers);
     callers_close(fixture->callers);
     caller_stream_end(fixture->caller, true);
-    g_assert_cmpuint(callers_connections(fixture->callers), ==, 0);
-    run_until(fixture, "0\r\n\r\n");
-    g_assert_nonnull(strstr(fixture->received->str, "0\r\n\r\n"));
+    /* This text never arrives: the loop stops when the server closes. */
+    run_until(fixture, "nothing more");
+    g_assert_true(fixture->closed);
+    g_assert_true(g_str_has_suffix(fixture->received->str, "0\r\n\r\n"));
+    run_until_closed(fixture);
     destroy_fixture(fixture);
 }
 
@@ -574,42 +590,84 @@
         g_string_append_len(fixture->received, bytes, count);
     }
     g_free(bytes);
-    if (count == 0) {
+    if (count == 0 ||
+        (fixture->expected != NULL &&
+         g_str_has_suffix(fixture->received->str, fixture->expected))) {
         loop_stop(fixture->loop);
         return;
     }
     loop_timer_arm(fixture->send_timer, now_ms + READ_INTERVAL_MS);
 }
 
-/* A caller that reads slowly gets all that was queued for it before its
-   connection is closed, however long it takes in all. */
+struct slow_reader {
+    bool complete;    /* the response */
+    bool half_closed; /* the caller sends nothing more */
+    bool again;       /* it sends another request when it has the response */
+    const char *end;  /* of what it gets */
+};
+
+/* Until the received text ends as expected; NULL: until the server closes. */
+static void
+read_slowly(struct fixture *fixture, const char *expected)
+{
+    fixture->expected = expected;
+    loop_timer_arm(fixture->send_timer, loop_now_ms(fixture->loop));
+    loop_run(fixture->loop);
+}
+
 static void
-test_slow_reader(void)
+check_slow_reader(const struct slow_reader *reader)
 {
+    static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    const struct catalog_limits limits = {.max_head_bytes = READ_BYTES,
+                                          .max_body_bytes = READ_BYTES,
+                                          .head_timeout_ms = IDLE_TIMEOUT_MS,
+                                          .idle_timeout_ms = IDLE_TIMEOUT_MS};
     struct fixture *fixture = create_fixture();
-    char *bytes = g_malloc(LARGE_BYTES);
+    char *bytes = g_strnfill(LARGE_BYTES, 'x');
     int buffer_bytes = SLOW_READ_BYTES;
 
-    memset(bytes, 'x', LARGE_BYTES);
+    callers_set_limits(fixture->callers, &limits);
     setsockopt(fixture->fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
                sizeof(buffer_bytes));
-    send_text(fixture, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    send_text(fixture, request);
     run_until(fixture, NULL);
     loop_unwatch(fixture->loop, fixture->fd);
     begin_stream(fixture);
     caller_stream_chunk(fixture->caller, bytes, LARGE_BYTES);
-    caller_stream_end(fixture->caller, false);
+    caller_stream_end(fixture->caller, reader->complete);
+    if (reader->half_closed) {
+        shutdown(fixture->fd, SHUT_WR);
+    }
     fixture->send_timer =
         loop_timer_create(fixture->loop, on_slow_read_timer, fixture);
-    loop_timer_arm(fixture->send_timer, loop_now_ms(fixture->loop));
-    loop_run(fixture->loop);
+    if (reader->again) {
+        read_slowly(fixture, "\r\n0\r\n\r\n");
+        send_text(fixture, request);
+        run_until(fixture, NULL);
+        send_response(fixture, "last");
+    }
+    read_slowly(fixture, NULL);
     loop_timer_destroy(fixture->send_timer);
     g_assert_cmpuint(fixture->received->len, >, LARGE_BYTES);
-    g_assert_false(g_str_has_suffix(fixture->received->str, "\r\n0\r\n\r\n"));
-    g_assert_true(g_str_has_suffix(fixture->received->str, "x\r\n"));
+    g_assert_true(g_str_has_suffix(fixture->received->str, reader->end));
     fixture->closed = true;
-    g_free(bytes);
+    run_until_closed(fixture);
     destroy_fixture(fixture);
+    g_free(bytes);
+}
+
+/* A caller that reads slowly gets all that was queued for it, however long it
+   takes in all and however the response ends. */
+static void
+test_slow_reader(void)
+{
+    static const struct slow_reader readers[] = {
+        {false, false, false, "x\r\n"}, {true, true, false, "x\r\n0\r\n\r\n"}};
+
+    for (gsize i = 0; i < G_N_ELEMENTS(readers); i++) {
+        check_slow_reader(&readers[i]);
+    }
 }
 
 /* Requests that have arrived when the server stops listening are served, on
--- a/tests/unit/test_upstreams.c
+++ b/tests/unit/test_upstreams.c
@@ -20,6 +20,11 @@
 enum {
     MAX_REQUESTS = 4,
     MAX_BYTES = 1024,
+    /* More than the endpoint's window. It pauses twice while it reads. */
+    SLOW_BODY_BYTES = 80 * 1024,
+    PAUSED_BYTES = 40 * 1024,
+    RECEIVE_BUFFER_BYTES = 4096,
+    READ_PAUSE_US = 2200 * 1000,
 };
 
 /* What the server does after it has read a request and sent the bytes. */
@@ -54,6 +59,8 @@
     size_t received; /* bytes of bodies at the client */
     struct upstream *upstream;
     bool pauses; /* the client stops reading when it gets bytes of a body */
+    GByteArray *body;  /* of the requests; NULL: none */
+    size_t read_bytes; /* of it, by the server */
 };
 
 static struct fixture fixture = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -70,8 +77,8 @@
     size_t count = 0;
 
     while (strstr(bytes, "\r\n\r\n") == NULL) {
-        ssize_t received_bytes =
-            recv(fd, bytes + count, sizeof(bytes) - 1 - count, 0);
+        /* Nothing of the body. */
+        ssize_t received_bytes = recv(fd, bytes + count, 1, 0);
 
         if (received_bytes <= 0) {
             return false;
@@ -81,6 +88,25 @@
     return true;
 }
 
+/* Reads the request's body with pauses, through a small window. */
+static void
+read_body(int fd)
+{
+    char bytes[MAX_BYTES];
+    size_t next_pause = PAUSED_BYTES / 2;
+    ssize_t count = 1;
+
+    while (fixture.body != NULL && count > 0 &&
+           fixture.read_bytes < fixture.body->len) {
+        count = recv(fd, bytes, sizeof(bytes), 0);
+        fixture.read_bytes += count > 0 ? (size_t)count : 0;
+        if (fixture.read_bytes >= next_pause) {
+            g_usleep(READ_PAUSE_US);
+            next_pause += PAUSED_BYTES;
+        }
+    }
+}
+
 static void
 wait_until_ended(uint32_t count)
 {
@@ -145,6 +171,8 @@
                read_request(fd)) {
             const struct step *step = &fixture.steps[fixture.requests++];
 
+            read_body(fd);
+
             stays_open = run_step(fd, step, fixture.requests);
         }
         close(fd);
@@ -219,7 +247,8 @@
     static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
     const struct upstream_request request = {.head = head,
                                              .head_bytes = strlen(head),
-                                             .timeout_ms = 5000,
+                                             .body = fixture.body,
+                                             .timeout_ms = 20000,
                                              .max_connections = 8};
 
     (void)data;
@@ -235,12 +264,18 @@
 {
     struct sockaddr_in address = {.sin_family = AF_INET};
     socklen_t size = sizeof(address);
+    int buffer_bytes = RECEIVE_BUFFER_BYTES;
 
     inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
     fixture.listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     g_assert_cmpint(bind(fixture.listener, (const struct sockaddr *)&address,
                          sizeof(address)),
                     ==, 0);
+    if (fixture.body != NULL) {
+        g_assert_cmpint(setsockopt(fixture.listener, SOL_SOCKET, SO_RCVBUF,
+                                   &buffer_bytes, sizeof(buffer_bytes)),
+                        ==, 0);
+    }
     g_assert_cmpint(listen(fixture.listener, MAX_REQUESTS), ==, 0);
     g_assert_cmpint(
         getsockname(fixture.listener, (struct sockaddr *)&address, &size), ==,
@@ -391,6 +426,22 @@
     check(steps, 2, "one;broken;", 1);
 }
 
+/* An endpoint that pauses while it reads a long body gets all of it: TCP's
+   timer used to reset the connection after 1.5 s. */
+static void
+test_slow_body(void)
+{
+    static const struct step steps[] = {{RESPONSE("one"), ACTION_KEEP}};
+
+    fixture.body = g_byte_array_new();
+    g_byte_array_set_size(fixture.body, SLOW_BODY_BYTES);
+    memset(fixture.body->data, 'x', SLOW_BODY_BYTES);
+    check(steps, 1, "one;", 1);
+    g_assert_cmpuint(fixture.read_bytes, ==, SLOW_BODY_BYTES);
+    g_byte_array_unref(fixture.body);
+    fixture.body = NULL;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -405,5 +456,6 @@
     g_test_add_func("/upstreams/closed-meanwhile", test_closed_while_idle);
     g_test_add_func("/upstreams/closed-under-request",
                     test_closed_during_request);
+    g_test_add_func("/upstreams/slow-body", test_slow_body);
     return g_test_run();
 }
