Gateway: descriptors are kept for endpoints, idle callers make room

What callers saw: with all descriptors in use by idle callers a gateway could open no connection to a worker, so that requests got 503; new connections got no answer, and each try to accept one was a log line.

Cause: nothing bounded how many descriptors callers may use, and a failed accept left the listening socket readable. Now a quarter of RLIMIT_NOFILE, at least 48, is kept. When the HTTP connections of the process reach the rest, a new caller and a request that begins each close the caller that has been idle for longest, unless its next request has arrived. If none is idle, or accept fails for want of descriptors, the listening socket is not watched and tried again every 100 ms; one line is written when that begins and one when it has been over for a second, so that a caller that leaves does not end and begin it. The servers of readiness and metrics use the reserve.

Evidence: on the code before, faults_gateway_descriptors (ulimit -n 128, 150 idle callers) ended with "request 1: got 503, expected 200" and lines "can't accept a caller's connection" 3 us apart. Now it passes, with 100 callers at work beyond the idle ones, whose answers are all whole.

--- a/gateway/caller_state.h
+++ b/gateway/caller_state.h
@@ -10,8 +10,8 @@
 #include "gateway/callers.h"
 
 /* The state of callers and their server, shared by callers.c, which reads
-   requests and sends responses, and caller_memory.c, which counts what is held
-   for them. Loop thread only. */
+   requests and sends responses, caller_accept.c, which accepts them, and
+   caller_memory.c, which counts what is held for them. Loop thread only. */
 
 struct buffer_account;
 struct buffer_budget;
@@ -41,6 +41,7 @@
     void *exchange;   /* the handlers'; NULL: none, or ended() was called */
     GByteArray *body;
     uint64_t body_started_ms;
+    uint64_t idle_since_ms;         /* while it is idle */
     struct buffer_account *account; /* NULL: nothing is counted */
     uint64_t reserved_bytes;        /* for the body */
     size_t kept_bytes;              /* of the response, by the exchange */
@@ -56,6 +57,21 @@
     struct buffer_budget *budget; /* borrowed; NULL: none */
     GHashTable *connections;      /* struct caller, as a set */
     uint32_t pending;
+    /* Accepting, see caller_accept.h. */
+    uint32_t max_connections;
+    bool accept_paused;
+    uint64_t short_since_ms; /* 0: there are descriptors */
+    uint64_t resumed_ms;     /* when the last pause ended */
+    struct loop_timer *accept_timer;
 };
 
+/* Serves an accepted connection. */
+void caller_open(struct callers *callers, int fd);
+
+/* Whether an idle caller has sent something, which is read next: then it is
+   not idle any more. */
+bool caller_note_request(struct caller *caller);
+
+void caller_close_idle(struct caller *caller);
+
 #endif
--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -1,15 +1,14 @@
 #include "gateway/callers.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/buffer_budget.h"
 #include "core/bytes.h"
+#include "gateway/caller_accept.h"
 #include "gateway/caller_memory.h"
 #include "gateway/caller_state.h"
 #include "gateway/gateway_counters.h"
@@ -36,8 +35,6 @@
        response. Closing at once would make TCP reset the connection, and the
        caller could lose the response. */
     LINGER_MS = 1000,
-    /* Connections accepted per iteration of the loop. */
-    MAX_ACCEPTS = 32,
     /* With a budget: what the kernel may hold unsent for a caller. */
     MAX_UNSENT_BYTES = 16 * 1024,
     /* When a caller is given up that does not take what is sent to it. One
@@ -65,6 +62,7 @@
     caller->state = state;
     switch (state) {
     case CALLER_IDLE:
+        caller->idle_since_ms = now_ms;
         loop_timer_arm(caller->timer, now_ms + limits->idle_timeout_ms);
         break;
     case CALLER_HEAD:
@@ -140,6 +138,23 @@
     return caller->state == CALLER_IDLE || caller->state == CALLER_TAKING;
 }
 
+bool
+caller_note_request(struct caller *caller)
+{
+    /* It may be the caller's close. */
+    if (!http_connection_is_stale(caller->connection)) {
+        return false;
+    }
+    set_state(caller, CALLER_HEAD);
+    return true;
+}
+
+void
+caller_close_idle(struct caller *caller)
+{
+    free_caller(caller);
+}
+
 /* Whether a response that begins now leaves the connection open. */
 static bool
 stays_open(const struct caller *caller)
@@ -188,6 +203,8 @@
         reject(caller, "HTTP/1.1 413 Content Too Large\r\n");
         return;
     }
+    /* For the connection to the endpoint. */
+    caller_accept_make_room(callers);
     caller->exchange = callers->handlers.begin(callers->data, caller, head);
     callers->pending++;
     caller->reserved_bytes = head->length_bytes;
@@ -311,8 +328,8 @@
     .taken = on_taken,
 };
 
-static void
-add_caller(struct callers *callers, int fd)
+void
+caller_open(struct callers *callers, int fd)
 {
     bool bounded =
         callers->budget != NULL && buffer_budget_is_bounded(callers->budget);
@@ -340,44 +357,6 @@
     set_state(caller, CALLER_IDLE);
 }
 
-/* Accepts some of the waiting connections. Returns whether more may wait. */
-static bool
-accept_callers(struct callers *callers)
-{
-    for (int i = 0; i < MAX_ACCEPTS; i++) {
-        int accepted = accept4(callers->listen_fd, NULL, NULL,
-                               SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-        if (accepted < 0) {
-            if (errno != EAGAIN && errno != ECONNABORTED) {
-                LOG_WARN("can't accept a caller's connection", "error=\"%s\"",
-                         g_strerror(errno));
-            }
-            return false;
-        }
-        add_caller(callers, accepted);
-    }
-    return true;
-}
-
-static void
-on_connection(void *data, int fd, uint32_t events)
-{
-    (void)fd;
-    (void)events;
-    accept_callers(data);
-}
-
-static void
-stop_listening(struct callers *callers)
-{
-    if (callers->listen_fd >= 0) {
-        loop_unwatch(callers->loop, callers->listen_fd);
-        close(callers->listen_fd);
-        callers->listen_fd = -1;
-    }
-}
-
 struct callers *
 callers_create(struct loop *loop, const char *ip, uint16_t port,
                const struct callers_handlers *handlers, void *data)
@@ -399,13 +378,19 @@
                                 .head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS,
                                 .idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS};
     callers->connections = g_hash_table_new(NULL, NULL);
-    if (!loop_watch(loop, fd, EPOLLIN, on_connection, callers)) {
-        close(fd);
+    if (!caller_accept_start(callers)) {
+        callers_destroy(callers);
         return NULL;
     }
     return callers;
 }
 
+void
+callers_set_max_connections(struct callers *callers, uint32_t max)
+{
+    callers->max_connections = max;
+}
+
 void
 callers_set_budget(struct callers *callers, struct buffer_budget *budget)
 {
@@ -456,13 +441,14 @@
     if (callers == NULL) {
         return;
     }
-    stop_listening(callers);
+    caller_accept_stop(callers);
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         disconnect(value);
         g_hash_table_iter_init(&iter, callers->connections);
     }
     g_hash_table_destroy(callers->connections);
+    loop_timer_destroy(callers->accept_timer);
     g_free(callers);
 }
 
@@ -500,19 +486,14 @@
     GPtrArray *idle = g_ptr_array_new();
 
     /* The kernel has accepted these, and their requests may be there. */
-    while (callers->listen_fd >= 0 && accept_callers(callers)) {
+    while (callers->listen_fd >= 0 && caller_accept_waiting(callers)) {
     }
-    stop_listening(callers);
+    caller_accept_stop(callers);
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         struct caller *caller = value;
 
-        if (is_between_requests(caller) &&
-            http_connection_is_stale(caller->connection)) {
-            /* A request, or the caller's close, is about to be read. */
-            set_state(caller, CALLER_HEAD);
-        }
-        else if (is_between_requests(caller)) {
+        if (is_between_requests(caller) && !caller_note_request(caller)) {
             g_ptr_array_add(idle, caller);
         }
     }
--- a/gateway/callers.h
+++ b/gateway/callers.h
@@ -49,6 +49,11 @@
                                const struct callers_handlers *handlers,
                                void *data);
 
+/* How many HTTP connections the process may have before this server closes its
+   idle callers, or accepts no more; 0, as at first: as many as there are
+   descriptors. */
+void callers_set_max_connections(struct callers *callers, uint32_t max);
+
 /* Counts what is held for connections that are accepted from now on, and
    bounds it. The budget is borrowed. */
 void callers_set_budget(struct callers *callers, struct buffer_budget *budget);
--- a/gateway/gateway_counters.h
+++ b/gateway/gateway_counters.h
@@ -28,6 +28,8 @@
     COUNT_BODIES_REFUSED,     /* large bodies without memory for them */
     COUNT_READERS_ENDED,      /* callers ended for what they did not take */
     COUNT_READERS_STALLED,    /* callers given up that took nothing */
+    COUNT_IDLE_CLOSED,        /* idle callers closed for want of descriptors */
+    COUNT_ACCEPT_PAUSES,      /* times when no callers were accepted */
     COUNT_UNREAD,             /* attempts that ended while unread */
     COUNT_DELAYED,            /* prompts that waited for engines */
     COUNT_REFUSED_FOR_ROOM,   /* prompts refused, engines being busy */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -13,6 +13,7 @@
 #include "core/message.h"
 #include "core/regions.h"
 #include "core/store_revision.h"
+#include "gateway/caller_accept.h"
 #include "gateway/callers.h"
 #include "gateway/config_copy.h"
 #include "gateway/crash_monitor.h"
@@ -492,6 +493,8 @@
                        &forwarder_handlers, gateway->forwarder);
     if (gateway->callers != NULL) {
         callers_set_budget(gateway->callers, gateway->budget);
+        callers_set_max_connections(gateway->callers,
+                                    caller_accept_max_connections());
     }
     if (gateway->callers == NULL ||
         status_server_create(gateway->loop, config->status.ip,
--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <http_parser.h>
 #include <netinet/in.h>
+#include <stdatomic.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -57,8 +58,16 @@
     struct loop_timer *deferred_timer;
 };
 
+static atomic_uint open_count;
+
 static void update_events(struct http_connection *conn);
 
+uint32_t
+http_connection_open_count(void)
+{
+    return atomic_load(&open_count);
+}
+
 const char *
 http_connection_end_text(enum http_connection_end end)
 {
@@ -101,6 +110,7 @@
         loop_unwatch(conn->loop, conn->fd);
         close(conn->fd);
         conn->fd = -1;
+        atomic_fetch_sub(&open_count, 1);
     }
     peer_watch_destroy(conn->peer);
     conn->peer = NULL;
@@ -561,6 +571,7 @@
         free_connection(conn);
         return NULL;
     }
+    atomic_fetch_add(&open_count, 1);
     return conn;
 }
 
--- a/io/http_connection.h
+++ b/io/http_connection.h
@@ -90,6 +90,9 @@
                         const struct http_connection_handlers *handlers,
                         void *data);
 
+/* Number of connections of this process, of all threads. */
+uint32_t http_connection_open_count(void);
+
 /* Copies bytes to the queue, of which the socket is given as much as it takes
    when the loop's present handler returns: what one handler sends leaves in
    one write. */
--- a/tests/fakes/slow_callers.c
+++ b/tests/fakes/slow_callers.c
@@ -4,7 +4,8 @@
    a request with a body of so many bytes, --rate bytes of it a second, and
    reads the response. --count callers ask --ip and --port for --path. Rate 0:
    as fast as possible. --receive is the size of their receive buffers, and
-   each pauses for --pause ms after its first read. It prints "ready" when all
+   each pauses for --pause ms after its first read. With --idle 1 they connect
+   and ask for nothing. It prints "ready" when all
    are connected, "ended whole=N cut=N" when all responses have ended, cut
    without their last chunk, and when
    SIGTERM ends it, how many callers got status 200, got 503 with Retry-After,
@@ -77,9 +78,10 @@
                       "%s %s HTTP/1.1\r\nHost: b.example\r\n"
                       "Attempt-Id: slow-%d\r\nDeadline-Ms: 60000\r\n"
                       "Content-Length: %zu\r\n\r\n",
-                      body_bytes > 0 ? "POST" : "GET", path, fd, body_bytes);
+                      body_bytes > 0 ? "POST" : "GET",
+                      path != NULL ? path : "", fd, body_bytes);
     if (fd < 0 || connect(fd, (struct sockaddr *)&to, sizeof(to)) != 0 ||
-        send(fd, head, (size_t)length, 0) != length) {
+        (path != NULL && send(fd, head, (size_t)length, 0) != length)) {
         perror("can't call");
         exit(EXIT_FAILURE);
     }
@@ -180,9 +182,10 @@
 {
     const char *ip = "";
     const char *path = "/";
-    unsigned long values[] = {0, 0, 0, 0, RECEIVE_BUFFER_BYTES, 0};
+    unsigned long values[] = {0, 0, 0, 0, RECEIVE_BUFFER_BYTES, 0, 0};
     static const char *const names[] = {"--port", "--count",   "--rate",
-                                        "--body", "--receive", "--pause"};
+                                        "--body", "--receive", "--pause",
+                                        "--idle"};
     enum {
         VALUES = sizeof(values) / sizeof(values[0])
     };
@@ -198,6 +201,7 @@
         ip = strcmp(argv[i], "--ip") == 0 ? argv[i + 1] : ip;
         path = strcmp(argv[i], "--path") == 0 ? argv[i + 1] : path;
     }
+    path = values[6] > 0 ? NULL : path;
     count = (int)(values[1] < MAX_CALLERS ? values[1] : MAX_CALLERS);
     part = values[2] > 0 ? values[2] / ROUNDS_PER_S : PART_BYTES;
     part = part < PART_BYTES ? part : PART_BYTES;
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -672,6 +672,69 @@
     }
 }
 
+static int
+open_client(const struct fixture *fixture)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons(fixture->port)};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    g_assert_cmpint(connect(fd, (struct sockaddr *)&address, sizeof(address)),
+                    ==, 0);
+    return fd;
+}
+
+static void
+run_until_connections(struct fixture *fixture, uint32_t count)
+{
+    while (callers_connections(fixture->callers) != count) {
+        loop_post(fixture->loop, stop_loop, fixture->loop);
+        loop_run(fixture->loop);
+    }
+}
+
+/* Without descriptors for all, the caller that has been idle for longest makes
+   room for a new one; the others, and requests that have arrived, are served.
+ */
+static void
+test_longest_idle_makes_room(void)
+{
+    static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    struct fixture *fixture = create_fixture();
+    char byte;
+    int longest;
+    int last;
+
+    run_until_connections(fixture, 1);
+    longest = open_client(fixture);
+    run_until_connections(fixture, 2);
+    send_text(fixture, request);
+    run_until(fixture, NULL);
+    send_response(fixture, "one");
+    run_until(fixture, "one");
+    while (!callers_are_idle(fixture->callers)) {
+        loop_post(fixture->loop, stop_loop, fixture->loop);
+        loop_run(fixture->loop);
+    }
+    callers_set_max_connections(fixture->callers, 2);
+    last = open_client(fixture);
+    /* The server closes this one, or none while it waits for an idle one. */
+    while (recv(longest, &byte, 1, MSG_DONTWAIT) != 0) {
+        loop_post(fixture->loop, stop_loop, fixture->loop);
+        loop_run(fixture->loop);
+    }
+    send_text(fixture, request);
+    run_until(fixture, NULL);
+    g_assert_cmpuint(fixture->requests, ==, 2);
+    send_response(fixture, "two");
+    run_until(fixture, "two");
+    g_assert_nonnull(strstr(fixture->received->str, "two"));
+    close(longest);
+    close(last);
+    destroy_fixture(fixture);
+}
+
 /* Requests that have arrived when the server stops listening are served, on
    an idle connection and on one that only the kernel has accepted. */
 static void
@@ -725,6 +788,7 @@
     g_test_add_func("/callers/two-lengths", test_two_body_lengths_are_refused);
     g_test_add_func("/callers/slow-bodies", test_slow_bodies);
     g_test_add_func("/callers/slow-reader", test_slow_reader);
+    g_test_add_func("/callers/longest-idle", test_longest_idle_makes_room);
     g_test_add_func("/callers/requests-before-close",
                     test_requests_before_close);
     return g_test_run();
