Peers: silence is noticed where the time since answers is not counted

A system may tell what is on its way and what is acknowledged (TCP_INFO, SIOCOUTQ) and yet report 0 ms since the last answer at every sample. There a peer that was gone counted as one that had just answered, and was given up only after the longer limit for peers that take nothing.

Now 0 counts as not known, and what the peer takes counts as an answer, so that data on its way which is not acknowledged for max_silence_ms ends the connection, as TCP_USER_TIMEOUT did. The time is counted from the sending on, and asked for when the limit is reached, not at the next interval. If the process has stood still, its peers get their time anew.

Evidence: test_peer_progress (the same, time not counted) fails with the decision before: STALLED in place of SILENT.

--- a/core/peer_progress.c
+++ b/core/peer_progress.c
@@ -4,6 +4,9 @@
 
 enum {
     MS_PER_S = 1000,
+    /* After a longer time without a sample this process, or its machine, has
+       stood still, and the peer gets its time anew. */
+    MAX_GAP_MS = 2000,
 };
 
 static void
@@ -20,27 +23,43 @@
     progress->acknowledged_bytes = sample->acknowledged_bytes;
 }
 
+/* A peer that takes something has answered, too. */
 static void
-update_unanswered(struct peer_progress *progress,
-                  const struct peer_sample *sample, uint64_t now_ms)
+update_silence(struct peer_progress *progress,
+               const struct peer_sample *sample, uint64_t now_ms)
 {
+    uint64_t answered_ms = 0;
+
+    if (sample->answered_ago_ms > 0) {
+        answered_ms = now_ms - MIN(now_ms, sample->answered_ago_ms);
+    }
     if (sample->unanswered && !progress->unanswered) {
         progress->unanswered_ms = now_ms;
     }
     progress->unanswered = sample->unanswered;
+    /* The last answer may be older than the packets. */
+    progress->silent_since_ms =
+        MAX(MAX(progress->unanswered_ms, answered_ms), progress->progress_ms);
 }
 
-static bool
-is_silent(const struct peer_progress *progress,
-          const struct peer_limits *limits, const struct peer_sample *sample,
-          uint64_t now_ms)
+void
+peer_progress_begin(struct peer_progress *progress, uint64_t now_ms)
 {
-    uint64_t answered_ms = now_ms - MIN(now_ms, sample->answered_ago_ms);
-    /* The last answer may be older than the packets. */
-    uint64_t silent_ms = now_ms - MAX(progress->unanswered_ms, answered_ms);
+    progress->behind = true;
+    progress->progress_ms = now_ms;
+    progress->unanswered = true;
+    progress->unanswered_ms = now_ms;
+    progress->silent_since_ms = now_ms;
+    progress->sampled_ms = now_ms;
+}
 
-    return sample->unanswered && limits->max_silence_ms > 0 &&
-           silent_ms >= limits->max_silence_ms;
+uint64_t
+peer_progress_silence_due_ms(const struct peer_progress *progress,
+                             const struct peer_limits *limits)
+{
+    return progress->unanswered && limits->max_silence_ms > 0
+               ? progress->silent_since_ms + limits->max_silence_ms
+               : UINT64_MAX;
 }
 
 static uint64_t
@@ -61,12 +80,16 @@
                      const struct peer_limits *limits,
                      const struct peer_sample *sample, uint64_t now_ms)
 {
+    if (progress->behind && now_ms > progress->sampled_ms + MAX_GAP_MS) {
+        peer_progress_begin(progress, now_ms);
+    }
+    progress->sampled_ms = now_ms;
     update_taken(progress, sample, now_ms);
-    update_unanswered(progress, sample, now_ms);
+    update_silence(progress, sample, now_ms);
     if (!progress->behind) {
         return PEER_TAKEN;
     }
-    if (is_silent(progress, limits, sample, now_ms)) {
+    if (now_ms >= peer_progress_silence_due_ms(progress, limits)) {
         return PEER_SILENT;
     }
     if (limits->max_stall_ms > 0 &&
--- a/core/peer_progress.h
+++ b/core/peer_progress.h
@@ -22,8 +22,10 @@
     uint64_t acknowledged_bytes; /* since the connection was opened */
     uint64_t outstanding_bytes;  /* queued, or sent and not acknowledged */
     bool unanswered;             /* packets are sent that call for an answer */
-    uint32_t answered_ago_ms;    /* since the last answer to any packet */
-    uint32_t segment_bytes;      /* 0: not known */
+    /* Since the last answer to any packet; 0: not known. A system that does
+       not count it says that the answer has come just now, at each sample. */
+    uint32_t answered_ago_ms;
+    uint32_t segment_bytes; /* 0: not known */
 };
 
 enum peer_state {
@@ -40,13 +42,24 @@
     uint64_t progress_ms; /* when these have risen last */
     bool unanswered;
     uint64_t unanswered_ms; /* since when */
+    uint64_t silent_since_ms;
+    uint64_t sampled_ms; /* last */
 };
 
+/* Something is sent to a peer that had taken all. */
+void peer_progress_begin(struct peer_progress *progress, uint64_t now_ms);
+
+/* To be called at least twice a second while the peer has not taken all. */
 enum peer_state peer_progress_update(struct peer_progress *progress,
                                      const struct peer_limits *limits,
                                      const struct peer_sample *sample,
                                      uint64_t now_ms);
 
+/* When the peer is given up for silence unless it answers; UINT64_MAX: not by
+   what is known now. */
+uint64_t peer_progress_silence_due_ms(const struct peer_progress *progress,
+                                      const struct peer_limits *limits);
+
 /* How long the peer has taken nothing of what is sent to it; 0: it has taken
    all. */
 uint64_t peer_progress_pause_ms(const struct peer_progress *progress,
--- a/io/peer_watch.c
+++ b/io/peer_watch.c
@@ -81,8 +81,12 @@
 static void
 arm(struct peer_watch *watch)
 {
+    uint64_t now_ms = loop_now_ms(watch->loop);
+    uint64_t due_ms = peer_progress_silence_due_ms(&watch->progress,
+                                                   &watch->settings.limits);
+
     loop_timer_arm(watch->timer,
-                   loop_now_ms(watch->loop) + watch->interval_ms);
+                   CLAMP(due_ms, now_ms + 1, now_ms + watch->interval_ms));
 }
 
 static void
@@ -138,6 +142,7 @@
 {
     if (!watch->untaken) {
         watch->untaken = true;
+        peer_progress_begin(&watch->progress, loop_now_ms(watch->loop));
         watch->interval_ms = FIRST_CHECK_MS;
         arm(watch);
     }
@@ -146,7 +151,10 @@
 void
 peer_watch_finish(struct peer_watch *watch)
 {
-    watch->untaken = true;
+    if (!watch->untaken) {
+        watch->untaken = true;
+        peer_progress_begin(&watch->progress, loop_now_ms(watch->loop));
+    }
     watch->interval_ms = FIRST_END_CHECK_MS;
     arm(watch);
 }
--- a/tests/unit/test_peer_progress.c
+++ b/tests/unit/test_peer_progress.c
@@ -24,6 +24,7 @@
     uint64_t period_ms; /* 0: takes nothing */
     uint64_t answers_until_ms;
     bool in_flight; /* packets are on their way, instead of probes */
+    bool uncounted; /* the system does not count the time since answers */
     uint32_t segment_bytes;
     enum peer_state expected;
     uint64_t from_ms; /* when the expected state is first seen */
@@ -59,7 +60,8 @@
             probe_ms = now_ms + pause_ms;
         }
         sample.unanswered = peer->in_flight || lost > 1;
-        sample.answered_ago_ms = (uint32_t)(now_ms - answered_ms);
+        sample.answered_ago_ms =
+            peer->uncounted ? 0 : (uint32_t)(now_ms - answered_ms);
         state = peer_progress_update(&progress, &limits, &sample, now_ms);
     }
     *end_ms = now_ms - STEP_MS;
@@ -72,19 +74,23 @@
 test_peers(void)
 {
     static const struct peer peers[] = {
-        {"pauses of 6 s", 6000, NEVER_MS, false, 0, PEER_TAKING, 0, 0},
-        {"takes nothing, answers probes", 0, NEVER_MS, false, 0, PEER_STALLED,
-         STALL_MS, STALL_MS},
-        {"the same, with steps of a segment", 0, NEVER_MS, false, SEGMENT,
-         PEER_STALLED, STALL_MS + 2000, STALL_MS + 2000},
-        {"pauses beyond the limit", STALL_MS + 1000, NEVER_MS, false, 0,
+        {"pauses of 6 s", 6000, NEVER_MS, false, false, 0, PEER_TAKING, 0, 0},
+        {"takes nothing, answers probes", 0, NEVER_MS, false, false, 0,
+         PEER_STALLED, STALL_MS, STALL_MS},
+        {"the same, with steps of a segment", 0, NEVER_MS, false, false,
+         SEGMENT, PEER_STALLED, STALL_MS + 2000, STALL_MS + 2000},
+        {"pauses beyond the limit", STALL_MS + 1000, NEVER_MS, false, false, 0,
          PEER_STALLED, STALL_MS, STALL_MS},
         {"the same pauses, for a segment", STALL_MS + 1000, NEVER_MS, false,
-         SEGMENT, PEER_TAKING, 0, 0},
-        {"gone while packets are on their way", 1000, 10000, true, 0,
+         false, SEGMENT, PEER_TAKING, 0, 0},
+        {"gone while packets are on their way", 1000, 10000, true, false, 0,
          PEER_SILENT, 9000 + SILENCE_MS, 10000 + SILENCE_MS},
-        {"gone behind a closed window", 1000, 10000, false, 0, PEER_SILENT,
-         9000 + SILENCE_MS, 9000 + STALL_MS},
+        {"the same, time not counted", 1000, 10000, true, true, 0, PEER_SILENT,
+         9000 + SILENCE_MS, 10000 + SILENCE_MS},
+        {"takes some, time not counted", 1000, NEVER_MS, true, true, 0,
+         PEER_TAKING, 0, 0},
+        {"gone behind a closed window", 1000, 10000, false, false, 0,
+         PEER_SILENT, 9000 + SILENCE_MS, 9000 + STALL_MS},
     };
 
     for (gsize i = 0; i < G_N_ELEMENTS(peers); i++) {
@@ -101,8 +107,21 @@
     }
 }
 
+/* Samples each STEP_MS until the state changes. Returns the time. */
+static uint64_t
+run_until_given_up(struct peer_progress *progress,
+                   const struct peer_sample *sample, uint64_t now_ms)
+{
+    while (peer_progress_update(progress, &limits, sample, now_ms) ==
+           PEER_TAKING) {
+        now_ms += STEP_MS;
+    }
+    return now_ms;
+}
+
 /* What is sent after a pause starts anew: neither the time since the last
-   progress nor that since the last answer counts for it. */
+   progress nor that since the last answer counts for it. Nor does time in
+   which this process stood still. */
 static void
 test_after_a_pause(void)
 {
@@ -117,12 +136,14 @@
     g_assert_cmpint(peer_progress_update(&progress, &limits, &sample, END_MS),
                     ==, PEER_TAKING);
     g_assert_cmpuint(peer_progress_pause_ms(&progress, END_MS + 7), ==, 7);
-    g_assert_cmpint(peer_progress_update(&progress, &limits, &sample,
-                                         END_MS + SILENCE_MS - 1),
-                    ==, PEER_TAKING);
-    g_assert_cmpint(
-        peer_progress_update(&progress, &limits, &sample, END_MS + SILENCE_MS),
-        ==, PEER_SILENT);
+    g_assert_cmpuint(run_until_given_up(&progress, &sample, END_MS), ==,
+                     END_MS + SILENCE_MS);
+
+    progress = (struct peer_progress){0};
+    sample.acknowledged_bytes = 0;
+    peer_progress_begin(&progress, STEP_MS);
+    g_assert_cmpuint(run_until_given_up(&progress, &sample, END_MS), ==,
+                     END_MS + SILENCE_MS);
 }
 
 int
