Gateway: callers that take nothing are ended first for want of memory

If more is held for responses than the budget allows, callers that have been behind for 2 s are ended, those that hold most first. A caller that has taken nothing for a while, and may well be given up soon, outlasted one that reads steadily and holds a little more.

--- a/core/buffer_budget.c
+++ b/core/buffer_budget.c
@@ -27,6 +27,9 @@
     /* How long a connection has had something queued before it is ended for
        its excess. */
     MIN_BEHIND_MS = 2000,
+    /* A pause after which a peer counts as one that takes nothing: callers
+       that read steadily acknowledge something within a second or two. */
+    MIN_PAUSE_MS = 5000,
     MS_PER_S = 1000,
 };
 
@@ -50,6 +53,7 @@
     uint64_t response_bytes;
     uint64_t kernel_bytes;
     uint64_t behind_since_ms; /* while response_bytes is not 0 */
+    uint64_t pause_ms;        /* for which the peer has taken nothing */
 };
 
 struct buffer_budget *
@@ -248,6 +252,12 @@
     account->kernel_bytes = bytes;
 }
 
+void
+buffer_account_set_pause(struct buffer_account *account, uint64_t pause_ms)
+{
+    account->pause_ms = pause_ms;
+}
+
 bool
 buffer_account_is_full(const struct buffer_account *account)
 {
@@ -255,10 +265,22 @@
            buffer_budget_response_limit(account->budget);
 }
 
+static bool
+ends_before(const struct buffer_account *account,
+            const struct buffer_account *other)
+{
+    bool paused = account->pause_ms >= MIN_PAUSE_MS;
+
+    if (other == NULL || paused != (other->pause_ms >= MIN_PAUSE_MS)) {
+        return other == NULL || paused;
+    }
+    return held_response(account) > held_response(other);
+}
+
 struct buffer_account *
 buffer_budget_excess(const struct buffer_budget *budget, uint64_t now_ms)
 {
-    struct buffer_account *largest = NULL;
+    struct buffer_account *first = NULL;
     GHashTableIter iter;
     gpointer value;
 
@@ -272,10 +294,9 @@
 
         if (account->response_bytes > 0 &&
             now_ms >= account->behind_since_ms + MIN_BEHIND_MS &&
-            (largest == NULL ||
-             held_response(account) > held_response(largest))) {
-            largest = account;
+            ends_before(account, first)) {
+            first = account;
         }
     }
-    return largest;
+    return first;
 }
--- a/core/buffer_budget.h
+++ b/core/buffer_budget.h
@@ -84,12 +84,18 @@
                                  uint64_t bytes, uint64_t now_ms);
 void buffer_account_set_kernel(struct buffer_account *account, uint64_t bytes);
 
+/* Sets how long the peer has taken nothing of what it has to take. */
+void buffer_account_set_pause(struct buffer_account *account,
+                              uint64_t pause_ms);
+
 /* Whether nothing more should be read for the connection now. */
 bool buffer_account_is_full(const struct buffer_account *account);
 
-/* If more is held for responses than their part, returns the connection that
-   holds most among those that have been behind for a while, to be ended; NULL
-   if there is none. */
+/* If more is held for responses than their part, returns the connection to be
+   ended, among those that have been behind for a while; NULL if there is none.
+   Those whose peers take nothing come first, since they are the least likely
+   to get their response at all; then those that hold most, so that as few as
+   possible lose theirs. */
 struct buffer_account *buffer_budget_excess(const struct buffer_budget *budget,
                                             uint64_t now_ms);
 
--- a/core/peer_progress.h
+++ b/core/peer_progress.h
@@ -49,7 +49,7 @@
 /* Something is sent to a peer that had taken all. */
 void peer_progress_begin(struct peer_progress *progress, uint64_t now_ms);
 
-/* To be called at least twice a second while the peer has not taken all. */
+/* To be called at least once a second while the peer has not taken all. */
 enum peer_state peer_progress_update(struct peer_progress *progress,
                                      const struct peer_limits *limits,
                                      const struct peer_sample *sample,
--- a/gateway/caller_memory.c
+++ b/gateway/caller_memory.c
@@ -85,6 +85,8 @@
     if (!buffer_budget_is_bounded(caller->callers->budget)) {
         return behind;
     }
+    buffer_account_set_pause(caller->account,
+                             http_connection_pause_ms(caller->connection));
     if (behind) {
         buffer_account_set_kernel(caller->account, kernel_bytes(caller));
     }
--- a/io/peer_watch.c
+++ b/io/peer_watch.c
@@ -10,7 +10,7 @@
     /* Time to the first question, and most between two. A quick peer has taken
        all by the first one; the limits are seconds. */
     FIRST_CHECK_MS = 250,
-    MAX_CHECK_MS = 500,
+    MAX_CHECK_MS = 1000,
     /* After the end of the connection, which a drain waits for. */
     FIRST_END_CHECK_MS = 20,
 };
--- a/tests/unit/test_buffer_budget.c
+++ b/tests/unit/test_buffer_budget.c
@@ -193,9 +193,9 @@
     destroy_fixture(fixture);
 }
 
-/* More connections than the shares have room for: those that hold most and
-   have been behind for a while are ended, until the sum is within their part.
- */
+/* More connections than the shares have room for: of those that have been
+   behind for a while, peers that take nothing and then those that hold most
+   are ended, until the sum is within their part. */
 static void
 test_excess(void)
 {
@@ -207,10 +207,13 @@
         buffer_account_set_response(fixture->accounts[i], 60000 + i,
                                     i < 900 ? 0 : 5000);
     }
+    buffer_account_set_pause(fixture->accounts[7], 5000);
+    buffer_account_set_pause(fixture->accounts[8], 4999);
     g_assert_null(buffer_budget_excess(fixture->budget, 1999));
     while ((excess = buffer_budget_excess(fixture->budget, 2000)) != NULL) {
-        if (ended == 0) {
-            g_assert_true(buffer_account_owner(excess) == &fixture->held[899]);
+        if (ended < 2) {
+            g_assert_true(buffer_account_owner(excess) ==
+                          &fixture->held[ended == 0 ? 7 : 899]);
         }
         buffer_account_set_response(excess, 0, 2000);
         ended++;
