--- a/gateway/caller_state.h
+++ b/gateway/caller_state.h
@@ -11,8 +11,8 @@
 #include "gateway/callers.h"
 
 /* The state of callers and their server, shared by callers.c, which reads
-   requests and sends responses, and caller_memory.c, which counts what is held
-   for them. Loop thread only. */
+   requests and sends responses, caller_accept.c, which accepts them, and
+   caller_memory.c, which counts what is held for them. Loop thread only. */
 
 struct buffer_account;
 struct buffer_budget;
@@ -20,19 +20,15 @@
 struct loop;
 struct loop_timer;
 
-enum {
-    /* TCP_USER_TIMEOUT: a connection fails if sent bytes stay unacknowledged
-       for this long. */
-    CALLER_USER_TIMEOUT_MS = 5000,
-};
-
 enum caller_state {
     CALLER_IDLE,      /* no request has begun */
+    CALLER_TAKING,    /* the same, and the last response is not all taken */
     CALLER_HEAD,      /* a head is being read */
     CALLER_BODY,      /* a body is being read */
     CALLER_WAITING,   /* the response has not begun */
     CALLER_STREAMING, /* a streamed response is being sent */
     CALLER_LINGER,    /* responded early; the rest is read and dropped */
+    CALLER_CLOSING,   /* closed when what was sent is taken */
 };
 
 struct caller {
@@ -43,13 +39,11 @@
     bool keep_alive;
     bool head_only;                  /* HEAD: the response has no body */
     struct response_framing framing; /* of a streamed response */
-    bool behind; /* had not taken all that was queued when last checked */
-    uint64_t acknowledged_bytes; /* while it is behind */
-    uint64_t progress_ms;        /* when these have risen last */
-    bool drops_queue;            /* what it has not taken is not sent to it */
-    void *exchange; /* the handlers'; NULL: none, or ended() was called */
+    bool drops_queue; /* what it has not taken is not sent to it */
+    void *exchange;   /* the handlers'; NULL: none, or ended() was called */
     GByteArray *body;
     uint64_t body_started_ms;
+    uint64_t idle_since_ms;         /* while it is idle */
     struct buffer_account *account; /* NULL: nothing is counted */
     uint64_t reserved_bytes;        /* for the body */
     size_t kept_bytes;              /* of the response, by the exchange */
@@ -65,6 +59,21 @@
     struct buffer_budget *budget; /* borrowed; NULL: none */
     GHashTable *connections;      /* struct caller, as a set */
     uint32_t pending;
+    /* Accepting, see caller_accept.h. */
+    uint32_t max_connections;
+    bool accept_paused;
+    uint64_t short_since_ms; /* 0: there are descriptors */
+    uint64_t resumed_ms;     /* when the last pause ended */
+    struct loop_timer *accept_timer;
 };
 
+/* Serves an accepted connection. */
+void caller_open(struct callers *callers, int fd);
+
+/* Whether an idle caller has sent something, which is read next: then it is
+   not idle any more. */
+bool caller_note_request(struct caller *caller);
+
+void caller_close_idle(struct caller *caller);
+
 #endif
--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -1,15 +1,14 @@
 #include "gateway/callers.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
 #include <string.h>
-#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/buffer_budget.h"
 #include "core/bytes.h"
+#include "gateway/caller_accept.h"
 #include "gateway/caller_memory.h"
 #include "gateway/caller_state.h"
 #include "gateway/gateway_counters.h"
@@ -36,10 +35,14 @@
        response. Closing at once would make TCP reset the connection, and the
        caller could lose the response. */
     LINGER_MS = 1000,
-    /* Connections accepted per iteration of the loop. */
-    MAX_ACCEPTS = 32,
     /* With a budget: what the kernel may hold unsent for a caller. */
     MAX_UNSENT_BYTES = 16 * 1024,
+    /* When a caller is given up that does not take what is sent to it. One
+       that answers no packet for 5 s has most likely left with its machine;
+       one that answers may be busy. */
+    MAX_SILENCE_MS = 5000,
+    MAX_STALL_MS = 15000,
+    MIN_READ_BYTES_PER_S = 1024,
 };
 
 /* When the bytes of the body so far are due, at the least rate. */
@@ -59,6 +62,7 @@
     caller->state = state;
     switch (state) {
     case CALLER_IDLE:
+        caller->idle_since_ms = now_ms;
         loop_timer_arm(caller->timer, now_ms + limits->idle_timeout_ms);
         break;
     case CALLER_HEAD:
@@ -71,8 +75,10 @@
     case CALLER_LINGER:
         loop_timer_arm(caller->timer, now_ms + LINGER_MS);
         break;
+    case CALLER_TAKING:
     case CALLER_WAITING:
     case CALLER_STREAMING:
+    case CALLER_CLOSING:
         loop_timer_disarm(caller->timer);
         break;
     }
@@ -97,28 +103,56 @@
 }
 
 static void
-free_caller(struct caller *caller, bool flush)
+free_caller(struct caller *caller)
 {
-    bool keeps_queue = flush && !caller->drops_queue;
-
     g_hash_table_remove(caller->callers->connections, caller);
-    if (keeps_queue) {
-        http_connection_close(caller->connection);
-    }
-    else {
-        http_connection_destroy(caller->connection);
-    }
+    http_connection_destroy(caller->connection);
     loop_timer_destroy(caller->timer);
     buffer_account_destroy(caller->account);
     g_byte_array_unref(caller->body);
     g_free(caller);
 }
 
+/* Ends the connection when the caller has taken what was sent to it. */
+static void
+close_caller(struct caller *caller)
+{
+    if (caller->drops_queue) {
+        free_caller(caller);
+        return;
+    }
+    set_state(caller, CALLER_CLOSING);
+    http_connection_finish(caller->connection);
+}
+
 static void
 disconnect(struct caller *caller)
 {
     end_exchange(caller, true);
-    free_caller(caller, false);
+    free_caller(caller);
+}
+
+static bool
+is_between_requests(const struct caller *caller)
+{
+    return caller->state == CALLER_IDLE || caller->state == CALLER_TAKING;
+}
+
+bool
+caller_note_request(struct caller *caller)
+{
+    /* It may be the caller's close. */
+    if (!http_connection_is_stale(caller->connection)) {
+        return false;
+    }
+    set_state(caller, CALLER_HEAD);
+    return true;
+}
+
+void
+caller_close_idle(struct caller *caller)
+{
+    free_caller(caller);
 }
 
 /* Whether a response that begins now leaves the connection open. */
@@ -134,7 +168,7 @@
 {
     struct caller *caller = data;
 
-    if (caller->state == CALLER_IDLE) {
+    if (is_between_requests(caller)) {
         set_state(caller, CALLER_HEAD);
     }
 }
@@ -169,6 +203,8 @@
         reject(caller, "HTTP/1.1 413 Content Too Large\r\n");
         return;
     }
+    /* For the connection to the endpoint. */
+    caller_accept_make_room(callers);
     caller->exchange = callers->handlers.begin(callers->data, caller, head);
     callers->pending++;
     caller->reserved_bytes = head->length_bytes;
@@ -206,7 +242,7 @@
     struct caller *caller = data;
 
     if (caller->state == CALLER_LINGER) {
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     if (caller->account != NULL) {
@@ -220,9 +256,17 @@
 on_ended(void *data, enum http_connection_end end)
 {
     struct caller *caller = data;
-    bool reading =
-        caller->state == CALLER_HEAD || caller->state == CALLER_IDLE;
+    bool reading = caller->state == CALLER_HEAD || is_between_requests(caller);
 
+    if (end == HTTP_CONNECTION_STALLED || end == HTTP_CONNECTION_SILENT) {
+        gateway_counters_count(COUNT_READERS_STALLED);
+    }
+    /* A caller that sends nothing more may still read. */
+    if (end == HTTP_CONNECTION_CLOSED && caller->exchange == NULL &&
+        !http_connection_is_taken(caller->connection)) {
+        close_caller(caller);
+        return;
+    }
     if (end == HTTP_CONNECTION_HEAD_TOO_BIG && reading) {
         reject(caller, "HTTP/1.1 431 Request Header Fields Too Large\r\n");
         return;
@@ -245,6 +289,21 @@
     }
 }
 
+/* The idle time begins when the caller has the response: what is queued for
+   one that reads slowly used to be dropped by it. */
+static void
+on_taken(void *data)
+{
+    struct caller *caller = data;
+
+    if (caller->state == CALLER_TAKING) {
+        set_state(caller, CALLER_IDLE);
+    }
+    else if (caller->state == CALLER_CLOSING) {
+        free_caller(caller);
+    }
+}
+
 static void
 on_timer(void *data, uint64_t now_ms)
 {
@@ -256,7 +315,7 @@
         reject(caller, "HTTP/1.1 408 Request Timeout\r\n");
         return;
     }
-    free_caller(caller, false);
+    close_caller(caller);
 }
 
 static const struct http_connection_handlers connection_handlers = {
@@ -266,16 +325,19 @@
     .complete = on_complete,
     .ended = on_ended,
     .all_sent = on_all_sent,
+    .taken = on_taken,
 };
 
-static void
-add_caller(struct callers *callers, int fd)
+void
+caller_open(struct callers *callers, int fd)
 {
     bool bounded =
         callers->budget != NULL && buffer_budget_is_bounded(callers->budget);
     const struct http_connection_settings settings = {
         .max_head_bytes = callers->limits.max_head_bytes,
-        .user_timeout_ms = CALLER_USER_TIMEOUT_MS,
+        .peer = {.max_silence_ms = MAX_SILENCE_MS,
+                 .max_stall_ms = MAX_STALL_MS,
+                 .min_bytes_per_s = MIN_READ_BYTES_PER_S},
         .max_unsent_bytes = bounded ? MAX_UNSENT_BYTES : 0};
     struct caller *caller = g_new0(struct caller, 1);
 
@@ -295,44 +357,6 @@
     set_state(caller, CALLER_IDLE);
 }
 
-/* Accepts some of the waiting connections. Returns whether more may wait. */
-static bool
-accept_callers(struct callers *callers)
-{
-    for (int i = 0; i < MAX_ACCEPTS; i++) {
-        int accepted = accept4(callers->listen_fd, NULL, NULL,
-                               SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-        if (accepted < 0) {
-            if (errno != EAGAIN && errno != ECONNABORTED) {
-                LOG_WARN("can't accept a caller's connection", "error=\"%s\"",
-                         g_strerror(errno));
-            }
-            return false;
-        }
-        add_caller(callers, accepted);
-    }
-    return true;
-}
-
-static void
-on_connection(void *data, int fd, uint32_t events)
-{
-    (void)fd;
-    (void)events;
-    accept_callers(data);
-}
-
-static void
-stop_listening(struct callers *callers)
-{
-    if (callers->listen_fd >= 0) {
-        loop_unwatch(callers->loop, callers->listen_fd);
-        close(callers->listen_fd);
-        callers->listen_fd = -1;
-    }
-}
-
 struct callers *
 callers_create(struct loop *loop, const char *ip, uint16_t port,
                const struct callers_handlers *handlers, void *data)
@@ -354,13 +378,19 @@
                                 .head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS,
                                 .idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS};
     callers->connections = g_hash_table_new(NULL, NULL);
-    if (!loop_watch(loop, fd, EPOLLIN, on_connection, callers)) {
-        close(fd);
+    if (!caller_accept_start(callers)) {
+        callers_destroy(callers);
         return NULL;
     }
     return callers;
 }
 
+void
+callers_set_max_connections(struct callers *callers, uint32_t max)
+{
+    callers->max_connections = max;
+}
+
 void
 callers_set_budget(struct callers *callers, struct buffer_budget *budget)
 {
@@ -377,7 +407,7 @@
         caller_give_up(caller, "the caller does not read");
         return;
     }
-    free_caller(caller, false);
+    free_caller(caller);
 }
 
 uint32_t
@@ -386,25 +416,16 @@
     uint64_t now_ms = loop_now_ms(callers->loop);
     uint32_t behind = 0;
     struct buffer_account *excess;
-    GPtrArray *stalled;
     GHashTableIter iter;
     gpointer value;
 
     if (callers->budget == NULL) {
         return 0;
     }
-    stalled = g_ptr_array_new();
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         behind += caller_memory_count_kernel(value) ? 1 : 0;
-        if (caller_memory_is_stalled(value)) {
-            g_ptr_array_add(stalled, value);
-        }
-    }
-    for (guint i = 0; i < stalled->len; i++) {
-        disconnect(g_ptr_array_index(stalled, i));
     }
-    g_ptr_array_free(stalled, TRUE);
     while ((excess = buffer_budget_excess(callers->budget, now_ms)) != NULL) {
         end_excess(buffer_account_owner(excess));
     }
@@ -420,13 +441,14 @@
     if (callers == NULL) {
         return;
     }
-    stop_listening(callers);
+    caller_accept_stop(callers);
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         disconnect(value);
         g_hash_table_iter_init(&iter, callers->connections);
     }
     g_hash_table_destroy(callers->connections);
+    loop_timer_destroy(callers->accept_timer);
     g_free(callers);
 }
 
@@ -464,24 +486,19 @@
     GPtrArray *idle = g_ptr_array_new();
 
     /* The kernel has accepted these, and their requests may be there. */
-    while (callers->listen_fd >= 0 && accept_callers(callers)) {
+    while (callers->listen_fd >= 0 && caller_accept_waiting(callers)) {
     }
-    stop_listening(callers);
+    caller_accept_stop(callers);
     g_hash_table_iter_init(&iter, callers->connections);
     while (g_hash_table_iter_next(&iter, &value, NULL)) {
         struct caller *caller = value;
 
-        if (caller->state == CALLER_IDLE &&
-            http_connection_is_stale(caller->connection)) {
-            /* A request, or the caller's close, is about to be read. */
-            set_state(caller, CALLER_HEAD);
-        }
-        else if (caller->state == CALLER_IDLE) {
+        if (is_between_requests(caller) && !caller_note_request(caller)) {
             g_ptr_array_add(idle, caller);
         }
     }
     for (guint i = 0; i < idle->len; i++) {
-        free_caller(g_ptr_array_index(idle, i), true);
+        close_caller(g_ptr_array_index(idle, i));
     }
     g_ptr_array_free(idle, TRUE);
 }
@@ -504,7 +521,7 @@
             return false;
         }
     }
-    return http_connection_closing_count() == 0;
+    return true;
 }
 
 uint32_t
@@ -529,11 +546,11 @@
         return;
     }
     if (!open || !listening || caller->drops_queue) {
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     caller_memory_count(caller);
-    set_state(caller, CALLER_IDLE);
+    set_state(caller, CALLER_TAKING);
     http_connection_next(caller->connection, false);
 }
 
@@ -613,7 +630,7 @@
     send_message(caller, end);
     if (!complete) {
         end_exchange(caller, false);
-        free_caller(caller, true);
+        close_caller(caller);
         return;
     }
     finish_response(caller, caller->keep_alive);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -13,6 +13,7 @@
 #include "core/message.h"
 #include "core/regions.h"
 #include "core/store_revision.h"
+#include "gateway/caller_accept.h"
 #include "gateway/callers.h"
 #include "gateway/config_copy.h"
 #include "gateway/crash_monitor.h"
@@ -373,9 +374,7 @@
 check_memory(struct gateway *gateway)
 {
     if (buffer_budget_is_bounded(gateway->budget)) {
-        buffer_budget_set_shared(gateway->budget,
-                                 link_queued_bytes() +
-                                     http_connection_closing_bytes());
+        buffer_budget_set_shared(gateway->budget, link_queued_bytes());
     }
     gateway->slow_readers = callers_check_memory(gateway->callers);
 }
@@ -494,6 +493,8 @@
                        &forwarder_handlers, gateway->forwarder);
     if (gateway->callers != NULL) {
         callers_set_budget(gateway->callers, gateway->budget);
+        callers_set_max_connections(gateway->callers,
+                                    caller_accept_max_connections());
     }
     if (gateway->callers == NULL ||
         status_server_create(gateway->loop, config->status.ip,
