--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -28,6 +28,7 @@
     MAX_READ_PAUSE_MS = 40,
     MIN_DISCONNECT_MS = 50,
     MAX_DISCONNECT_MS = 800,
+    EARLIER_VERSIONS = 8, /* that are asked for beside the newest */
     STATUS_OK = 200,
     PROBE_CALLER = 9999, /* caller number in the ids of probes */
 };
@@ -55,12 +56,13 @@
     uint32_t event_bytes;
     uint32_t prompt_tokens;
 } kinds[SOAK_REQUEST_KIND_COUNT] = {
-    [SOAK_REQUEST_SAFE] = {0.28, PLAIN_TIMEOUT_MS, 0, 0, 0},
-    [SOAK_REQUEST_AT_MOST_ONCE] = {0.2, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_SAFE] = {0.25, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_AT_MOST_ONCE] = {0.18, PLAIN_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_SLOW] = {0.05, SLOW_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_STREAM] = {0.25, STREAM_TIMEOUT_MS, EVENTS, 0, 1000},
     [SOAK_REQUEST_LARGE] = {0.03, LARGE_TIMEOUT_MS, EVENTS, 0, 500000},
-    [SOAK_REQUEST_NEW_ROUTE] = {0.17, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_NEW_ROUTE] = {0.15, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_OLD_ROUTE] = {0.07, PLAIN_TIMEOUT_MS, 0, 0, 0},
     /* The stream exceeds what the kernel and the gateway may buffer for a
        caller. */
     [SOAK_REQUEST_SLOWLY_READ] = {0.02, STREAM_TIMEOUT_MS, 120, 24 * 1024,
@@ -92,13 +94,16 @@
     return SOAK_REQUEST_SAFE;
 }
 
-/* Returns mostly the newest key, at times a removed one: the last removed key
-   about as often as all earlier ones together. */
+/* Returns mostly the newest key, at times the permanent one or a removed one:
+   the last removed key about as often as all earlier ones together. */
 static uint32_t
 choose_key(struct caller *caller)
 {
     uint32_t newest = soak_operator_newest_key();
 
+    if (chance(caller, 0.2)) {
+        return SOAK_PERMANENT_KEY;
+    }
     if (newest > 0 && chance(caller, 0.15)) {
         return newest - 1;
     }
@@ -108,6 +113,21 @@
     return newest;
 }
 
+/* Returns the version whose route is asked for: for an added route the newest
+   or an earlier one, for a removed route an earlier one. */
+static uint32_t
+choose_version(struct caller *caller, enum soak_request_kind kind)
+{
+    uint32_t newest = soak_operator_newest_version();
+    uint32_t latest = kind == SOAK_REQUEST_OLD_ROUTE ? newest - 1 : newest;
+
+    if (chance(caller, 0.5) && latest > EARLIER_VERSIONS) {
+        return latest -
+               (uint32_t)g_rand_int_range(caller->random, 0, EARLIER_VERSIONS);
+    }
+    return latest;
+}
+
 static void
 apply_kind(struct soak_request *request)
 {
@@ -122,12 +142,11 @@
 static void
 choose_request(struct caller *caller, struct soak_request *request)
 {
-    *request =
-        (struct soak_request){.kind = choose_kind(caller),
-                              .gateway = (uint32_t)g_rand_int_range(
-                                  caller->random, 0, SOAK_GATEWAYS),
-                              .key = choose_key(caller),
-                              .version = soak_operator_newest_version()};
+    *request = (struct soak_request){.kind = choose_kind(caller),
+                                     .gateway = (uint32_t)g_rand_int_range(
+                                         caller->random, 0, SOAK_GATEWAYS),
+                                     .key = choose_key(caller)};
+    request->version = choose_version(caller, request->kind);
     g_snprintf(request->id, sizeof(request->id), "c%u-%u", caller->number,
                caller->calls++);
     if (request->kind == SOAK_REQUEST_CRASHING) {
@@ -158,6 +177,8 @@
                                SLOW_RESPONSE_MS);
     case SOAK_REQUEST_NEW_ROUTE:
         return g_strdup_printf("/v%u/%s", request->version, request->id);
+    case SOAK_REQUEST_OLD_ROUTE:
+        return g_strdup_printf("/r%u/%s", request->version, request->id);
     case SOAK_REQUEST_CRASHING:
         return g_strdup_printf("/plain/crashing-%u", request->crashing);
     case SOAK_REQUEST_STREAM:
@@ -321,8 +342,10 @@
            enum soak_request_kind kind)
 {
     static uint32_t calls;
-    struct soak_request request = {
-        .kind = kind, .gateway = gateway, .key = soak_operator_newest_key()};
+    struct soak_request request = {.kind = kind,
+                                   .gateway = gateway,
+                                   .key = soak_operator_newest_key(),
+                                   .version = soak_operator_newest_version()};
 
     apply_kind(&request);
     g_snprintf(request.id, sizeof(request.id), "c%d-%u", PROBE_CALLER,
@@ -334,5 +357,6 @@
 soak_callers_probe(const struct soak_fleet *fleet, uint32_t gateway)
 {
     return probe_kind(fleet, gateway, SOAK_REQUEST_SAFE) &&
-           probe_kind(fleet, gateway, SOAK_REQUEST_STREAM);
+           probe_kind(fleet, gateway, SOAK_REQUEST_STREAM) &&
+           probe_kind(fleet, gateway, SOAK_REQUEST_NEW_ROUTE);
 }
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -18,8 +18,8 @@
 /* Waits until the current requests have ended, and frees the callers. */
 void soak_callers_stop(struct soak_callers *callers);
 
-/* Sends a plain request and a stream request to a gateway. Returns whether it
-   serves both. Main thread only. */
+/* Sends a plain request, a stream request and one on the newest route to a
+   gateway. Returns whether it serves all. Main thread only. */
 bool soak_callers_probe(const struct soak_fleet *fleet, uint32_t gateway);
 
 #endif
--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -98,6 +98,9 @@
     struct soak_request *recorded = g_memdup2(request, sizeof(*request));
 
     pthread_mutex_lock(&checker.lock);
+    if (checker.seen_incarnation[request->gateway] == request->incarnation) {
+        recorded->seen_version = checker.seen_version[request->gateway];
+    }
     g_hash_table_insert(checker.requests, recorded->id, recorded);
     pthread_mutex_unlock(&checker.lock);
     return recorded;
@@ -191,34 +194,76 @@
     }
 }
 
+/* Whether the change must be in force for the request: it came later than the
+   bound, at a gateway that could follow the store. */
+static bool
+must_know(const struct soak_request *request, uint64_t change_ms)
+{
+    return change_ms != 0 &&
+           request->sent_ms >
+               change_ms + SOAK_APPLY_MS +
+                   soak_disturbance_lag_ms(change_ms, request->ended_ms) &&
+           soak_checker_follows_store(request, request->sent_ms,
+                                      request->ended_ms);
+}
+
 /* Checks whether the gateway refused what its configuration should allow. */
 static void
-check_config(const struct soak_request *request)
+check_added(const struct soak_request *request)
 {
-    uint64_t change_ms = 0;
+    uint32_t key = request->key;
 
     if (request->kind == SOAK_REQUEST_NEW_ROUTE &&
         request->status == STATUS_NOT_FOUND) {
-        change_ms = checker.version_written_ms[request->version];
         if (request->version <= checker.seen_version[request->gateway] &&
             request->incarnation ==
                 checker.seen_incarnation[request->gateway]) {
             fail_request("version", request,
                          "the gateway went back to an older configuration");
         }
+        if (must_know(request, checker.version_written_ms[request->version])) {
+            fail_request("route", request, "an added route is not served");
+        }
     }
     else if (request->kind == SOAK_REQUEST_SAFE &&
              request->status == STATUS_UNAUTHORIZED &&
-             checker.key_removed_ms[request->key] == 0) {
-        change_ms = checker.key_added_ms[request->key];
+             checker.key_removed_ms[key] == 0 &&
+             must_know(request, checker.key_added_ms[key])) {
+        fail_request("config", request, "an added key is not in force");
+    }
+}
+
+/* Checks whether the gateway served a route that a later version lacks. */
+static void
+check_removed(const struct soak_request *request)
+{
+    if (request->kind != SOAK_REQUEST_OLD_ROUTE ||
+        request->status != STATUS_OK) {
+        return;
+    }
+    if (request->seen_version > request->version) {
+        fail_request("version", request,
+                     "the gateway went back to an older configuration");
+    }
+    if (must_know(request, checker.version_written_ms[request->version + 1])) {
+        fail_request("config", request, "a removed route is served");
     }
-    if (change_ms != 0 &&
-        request->sent_ms >
-            change_ms + SOAK_APPLY_MS +
-                soak_disturbance_lag_ms(change_ms, request->ended_ms) &&
-        soak_checker_follows_store(request, change_ms, request->ended_ms)) {
-        fail_request("config", request,
-                     "a configuration change is not in force in time");
+}
+
+/* Checks whether the gateway refused what all versions allow. */
+static void
+check_denied(const struct soak_request *request)
+{
+    bool is_denied =
+        request->status == STATUS_UNAUTHORIZED
+            ? !has_account(request) || request->key == SOAK_PERMANENT_KEY
+            : request->status == STATUS_NOT_FOUND &&
+                  request->kind != SOAK_REQUEST_NEW_ROUTE &&
+                  request->kind != SOAK_REQUEST_OLD_ROUTE;
+
+    if (is_denied) {
+        fail_request("denied", request,
+                     "every version has the route and the key");
     }
 }
 
@@ -227,7 +272,8 @@
 {
     uint32_t gateway = request->gateway;
 
-    if (request->kind != SOAK_REQUEST_NEW_ROUTE ||
+    if ((request->kind != SOAK_REQUEST_NEW_ROUTE &&
+         request->kind != SOAK_REQUEST_OLD_ROUTE) ||
         request->status != STATUS_OK) {
         return;
     }
@@ -284,7 +330,9 @@
         if (response->status == STATUS_OK) {
             check_body(request, response);
         }
-        check_config(request);
+        check_added(request);
+        check_removed(request);
+        check_denied(request);
         record_seen_version(request);
         check_refusal(request);
     }
@@ -296,6 +344,22 @@
 
 /* Runs. */
 
+/* Whether the gateway must know that a worker drains: it can follow the store,
+   or it could when the worker wrote that, and has run undisturbed since,
+   whatever has become of the store. */
+static bool
+must_know_draining(const struct soak_request *request, uint64_t draining_ms)
+{
+    uint64_t now_ms = request->last_run_ms;
+
+    return soak_checker_follows_store(request, now_ms, now_ms) ||
+           (soak_checker_follows_store(request, draining_ms,
+                                       draining_ms + SOAK_DRAIN_MS) &&
+            gateway_undisturbed(request, draining_ms, now_ms) &&
+            soak_disturbance_none_at(SOAK_DISTURBANCE_RESTART,
+                                     request->gateway, draining_ms, now_ms));
+}
+
 static void
 check_run(const struct soak_request *request, uint32_t worker,
           const char *account, const char *credential)
@@ -323,8 +387,7 @@
         request->last_run_ms >
             draining_ms + SOAK_DRAIN_MS +
                 soak_disturbance_lag_ms(draining_ms, request->last_run_ms) &&
-        soak_checker_follows_store(request, draining_ms,
-                                   request->last_run_ms) &&
+        must_know_draining(request, draining_ms) &&
         soak_disturbance_none_at(SOAK_DISTURBANCE_WORKER, worker,
                                  request->last_run_ms - SOAK_SETTLE_MS,
                                  request->last_run_ms)) {
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -22,6 +22,7 @@
     /* Data centres, over which the workers are spread in turn. */
     SOAK_ZONES = 3,
     SOAK_MAX_KEYS = 256, /* API keys that one soak may use */
+    SOAK_PERMANENT_KEY = SOAK_MAX_KEYS - 1, /* all versions have it */
     /* Time bounds of the guarantees, as in the gateways' settings and the
        users' manual. SOAK_REVOKE_MS holds also under faults. Other bounds are
        checked only if nothing was disturbed for SOAK_SETTLE_MS before. */
@@ -45,6 +46,7 @@
     SOAK_REQUEST_STREAM,    /* event stream that another worker may resume */
     SOAK_REQUEST_LARGE,     /* event stream that exceeds one engine's memory */
     SOAK_REQUEST_NEW_ROUTE, /* plain, on the route that a version added */
+    SOAK_REQUEST_OLD_ROUTE, /* plain, on a route of that version alone */
     /* Event stream whose caller reads more slowly than the worker sends, and
        leaves bytes of it unread at the gateway. */
     SOAK_REQUEST_SLOWLY_READ,
@@ -58,7 +60,8 @@
     uint32_t gateway;
     uint32_t incarnation;   /* of the gateway when the request was sent */
     uint32_t key;           /* number of the API key sent */
-    uint32_t version;       /* of the configuration, when it was sent */
+    uint32_t version;       /* of the configuration that has the route */
+    uint32_t seen_version;  /* that its gateway had shown by then */
     bool reused_connection; /* not the connection's first request */
     uint32_t crashing;      /* number of a crashing request; 0: another kind */
     uint32_t events;        /* expected in the response; 0: no stream */
--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -15,6 +15,7 @@
     STORE = SOAK_FAULT_NEEDS_STORE,
     PLANNED = SOAK_FAULT_PLANNED,
     CHANGE = STORE | PLANNED,
+    CONFIGURES = CHANGE | SOAK_FAULT_CONFIGURES,
     AWAY = CHANGE | SOAK_FAULT_TAKES_WORKER_AWAY,
 };
 
@@ -59,8 +60,8 @@
                              SOAK_DISTURBANCE_STORE, "compact", NULL},
     [FAULT_STORE_EXPIRE] = {"store-expire", 1, SHORT, DISTURBS,
                             SOAK_DISTURBANCE_STORE, "expire", NULL},
-    [FAULT_ADD_ROUTE] = {"configure", 1, SHORT, CHANGE, 0, NULL, NULL},
-    [FAULT_REPLACE_KEY] = {"change-key", 1, SHORT, CHANGE, 0, NULL, NULL},
+    [FAULT_ADD_ROUTE] = {"configure", 1, SHORT, CONFIGURES, 0, NULL, NULL},
+    [FAULT_REPLACE_KEY] = {"change-key", 1, SHORT, CONFIGURES, 0, NULL, NULL},
     [FAULT_DRAIN_WORKER] = {"worker-leaves", SOAK_WORKERS, LONG, AWAY, 0, NULL,
                             NULL},
     [FAULT_WORKER_SAYS_LEAVING] = {"worker-says-leaving", SOAK_WORKERS, LONG,
@@ -75,6 +76,11 @@
                         NULL},
     [FAULT_WORKER_COLD] = {"worker-cold", SOAK_WORKERS, SHORT, PLANNED, 0,
                            NULL, NULL},
-    [FAULT_CONFIG_GROWS] = {"config-grows", 1, LONG, CHANGE, 0, NULL, NULL},
-    [FAULT_VERSIONS] = {"versions", 1, SHORT, CHANGE, 0, NULL, NULL},
+    [FAULT_CONFIG_GROWS] = {"config-grows", 1, LONG, CONFIGURES, 0, NULL,
+                            NULL},
+    [FAULT_VERSIONS] = {"versions", 1, SHORT, CONFIGURES, 0, NULL, NULL},
+    [FAULT_STORE_QUIET] = {"store-quiet", 1, SHORT, DISTURBS | STORE,
+                           SOAK_DISTURBANCE_STORE, "quiet?on=1", "quiet?on=0"},
+    [FAULT_STORE_DRILL] = {"store-drill", 1, SHORT, DISTURBS | STORE,
+                           SOAK_DISTURBANCE_STORE, NULL, NULL},
 };
--- a/tests/soak/soak_fault_kinds.h
+++ b/tests/soak/soak_fault_kinds.h
@@ -37,6 +37,8 @@
     FAULT_WORKER_COLD,
     FAULT_CONFIG_GROWS,
     FAULT_VERSIONS,
+    FAULT_STORE_QUIET,
+    FAULT_STORE_DRILL,
     FAULT_KIND_COUNT,
 };
 
@@ -48,6 +50,7 @@
     SOAK_FAULT_PLANNED = 4, /* is made in calm phases too */
     /* The worker gets no new requests meanwhile. */
     SOAK_FAULT_TAKES_WORKER_AWAY = 8,
+    SOAK_FAULT_CONFIGURES = 16, /* writes a version of the configuration */
 };
 
 struct soak_fault_kind {
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -7,6 +7,7 @@
 
 #include "tests/fakes/fake_server.h"
 #include "tests/soak/soak_checker.h"
+#include "tests/soak/soak_drill.h"
 #include "tests/soak/soak_fault_kinds.h"
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/soak_operator.h"
@@ -36,6 +37,14 @@
     MAX_VERSION_MS = 330,
     MIN_COLD_MS = 4000,
     MAX_COLD_MS = 9000,
+    /* Watches without changes: several of each gateway end meanwhile, later
+       than the changes. */
+    MIN_QUIET_MS = 1300,
+    MAX_QUIET_MS = 2300,
+    MAX_QUIET_CHANGES_MS = 400,
+    QUIET_DRAIN_MS = 12000,
+    /* A gateway that is suspended or cut off from the store during a drill. */
+    MAX_BESIDE_DRILL_MS = 3500,
 };
 
 struct fault {
@@ -48,6 +57,7 @@
     uint32_t incarnation; /* of the process when the fault began */
     uint32_t disturbance_number;
     bool has_disturbance;
+    bool goes_on; /* whatever ends_ms, as a drill that has not ended */
 };
 
 struct soak_faults {
@@ -62,6 +72,7 @@
     uint64_t next_ms;
     uint64_t phase_ends_ms;
     bool is_calm;
+    bool config_rests; /* no version until the end of the calm phase */
     bool is_left_out[FAULT_KIND_COUNT];
     uint32_t steps;
     uint32_t count;
@@ -156,6 +167,9 @@
         is_active(faults, FAULT_STORE_PAUSE, 0)) {
         return true;
     }
+    if (has_flag(kind, SOAK_FAULT_CONFIGURES) && faults->config_rests) {
+        return true;
+    }
     if (has_flag(kind, SOAK_FAULT_TAKES_WORKER_AWAY) &&
         is_active(faults, FAULT_REQUEST_CRASHES, 0)) {
         return true;
@@ -300,6 +314,44 @@
     }
 }
 
+static void start_fault(struct soak_faults *faults, enum fault_kind kind,
+                        uint32_t index, uint64_t now_ms, uint32_t duration_ms);
+
+/* Versions are written and a worker drains while the watches see no changes.
+ */
+static void
+begin_quiet(struct soak_faults *faults, struct fault *fault)
+{
+    GRand *details = faults->details;
+    uint32_t worker = draw_number(details, 0, SOAK_WORKERS);
+    uint64_t now_ms = fault->begun_ms;
+
+    fault->ends_ms = now_ms + draw_number(details, MIN_QUIET_MS, MAX_QUIET_MS);
+    start_fault(faults, FAULT_VERSIONS, 0, now_ms,
+                draw_number(details, 1, MAX_QUIET_CHANGES_MS));
+    if (!is_blocked(faults, FAULT_DRAIN_WORKER, worker)) {
+        start_fault(faults, FAULT_DRAIN_WORKER, worker, now_ms,
+                    QUIET_DRAIN_MS);
+    }
+}
+
+static void
+begin_drill(struct soak_faults *faults, struct fault *fault)
+{
+    static const enum fault_kind beside[] = {FAULT_PAUSE_GATEWAY,
+                                             FAULT_STORE_PROXY};
+    uint32_t number = draw_number(faults->details, 0, 4);
+    uint32_t gateway = draw_number(faults->details, 0, SOAK_GATEWAYS);
+
+    if (number < G_N_ELEMENTS(beside)) {
+        start_fault(
+            faults, beside[number], gateway, fault->begun_ms,
+            draw_number(faults->details, MIN_FAULT_MS, MAX_BESIDE_DRILL_MS));
+    }
+    fault->goes_on = true;
+    soak_drill_begin(g_rand_int(faults->details), fault->begun_ms);
+}
+
 static void
 begin_fault(struct soak_faults *faults, struct fault *fault)
 {
@@ -339,6 +391,12 @@
         fault->version_ms =
             draw_number(faults->details, MIN_VERSION_MS, MAX_VERSION_MS);
     }
+    else if (fault->kind == FAULT_STORE_QUIET) {
+        begin_quiet(faults, fault);
+    }
+    else if (fault->kind == FAULT_STORE_DRILL) {
+        begin_drill(faults, fault);
+    }
     else if (fault->kind == FAULT_WORKER_COLD) {
         soak_restarts_make_cold(faults->restarts, fault->index,
                                 draw_cold_ms(faults));
@@ -386,6 +444,13 @@
     case FAULT_EVACUATE:
         end_evacuation(faults, fault, now_ms);
         break;
+    case FAULT_STORE_QUIET:
+        /* Watches are cut at times, and the events in between are gone. */
+        if (draw_number(faults->details, 0, 2) == 0) {
+            send_command(fault, "compact");
+        }
+        send_command(fault, soak_fault_kinds[fault->kind].off_command);
+        break;
     case FAULT_WORKER_SAYS_LEAVING:
         soak_operator_new_instance(fault->index);
         /* fall through */
@@ -420,7 +485,7 @@
 can_end(const struct soak_faults *faults, const struct fault *fault,
         uint64_t now_ms)
 {
-    if (now_ms < fault->ends_ms ||
+    if (now_ms < fault->ends_ms || fault->goes_on ||
         (has_flag(fault->kind, SOAK_FAULT_NEEDS_STORE) &&
          is_active(faults, FAULT_STORE_PAUSE, 0))) {
         return false;
@@ -456,24 +521,14 @@
     soak_process_signal(fault_process(faults, fault), SIGKILL);
 }
 
+/* Begins a fault, unless it is in progress. */
 static void
-begin_random_fault(struct soak_faults *faults, uint64_t now_ms)
+start_fault(struct soak_faults *faults, enum fault_kind kind, uint32_t index,
+            uint64_t now_ms, uint32_t duration_ms)
 {
-    GRand *schedule = faults->schedule;
-    enum fault_kind kind =
-        (enum fault_kind)draw_number(schedule, 0, FAULT_KIND_COUNT);
-    uint32_t index =
-        draw_number(schedule, 0, soak_fault_kinds[kind].index_count);
-    uint32_t duration_ms =
-        draw_number(schedule, MIN_FAULT_MS, soak_fault_kinds[kind].max_ms);
     struct fault *fault;
 
-    faults->next_ms += draw_number(schedule, MIN_INTERVAL_MS, MAX_INTERVAL_MS);
-    g_rand_set_seed(faults->details, g_rand_int(schedule));
-    faults->steps++;
-    if (faults->is_left_out[kind] || is_active(faults, kind, index) ||
-        is_blocked(faults, kind, index) ||
-        (faults->is_calm && !has_flag(kind, SOAK_FAULT_PLANNED))) {
+    if (is_active(faults, kind, index)) {
         return;
     }
     fault = g_new0(struct fault, 1);
@@ -484,8 +539,28 @@
     if (kind == FAULT_REQUEST_CRASHES) {
         fault->ends_ms = now_ms + CRASHING_MS;
     }
-    begin_fault(faults, fault);
     g_ptr_array_add(faults->active, fault);
+    begin_fault(faults, fault);
+}
+
+static void
+begin_random_fault(struct soak_faults *faults, uint64_t now_ms)
+{
+    GRand *schedule = faults->schedule;
+    enum fault_kind kind =
+        (enum fault_kind)draw_number(schedule, 0, FAULT_KIND_COUNT);
+    uint32_t index =
+        draw_number(schedule, 0, soak_fault_kinds[kind].index_count);
+    uint32_t duration_ms =
+        draw_number(schedule, MIN_FAULT_MS, soak_fault_kinds[kind].max_ms);
+
+    faults->next_ms += draw_number(schedule, MIN_INTERVAL_MS, MAX_INTERVAL_MS);
+    g_rand_set_seed(faults->details, g_rand_int(schedule));
+    faults->steps++;
+    if (!faults->is_left_out[kind] && !is_blocked(faults, kind, index) &&
+        (!faults->is_calm || has_flag(kind, SOAK_FAULT_PLANNED))) {
+        start_fault(faults, kind, index, now_ms, duration_ms);
+    }
 }
 
 void
@@ -511,6 +586,9 @@
             soak_operator_add_route();
             fault->next_version_ms += fault->version_ms;
         }
+        else if (fault->kind == FAULT_STORE_DRILL && store_is_up) {
+            fault->goes_on = fault->goes_on && soak_drill_tick(now_ms);
+        }
         if (can_end(faults, fault, now_ms)) {
             end_fault(faults, fault, now_ms);
             g_ptr_array_remove_index_fast(faults->active, i - 1);
@@ -525,6 +603,7 @@
         "full?on=0", "fail?on=0", "cut?after=0", "silent?on=0"};
 
     soak_operator_control_store("down?on=0");
+    soak_operator_control_store("quiet?on=0");
     soak_operator_control_store("refuse?on=0");
     for (uint32_t i = 0; i < SOAK_WORKERS; i++) {
         for (size_t j = 0; j < G_N_ELEMENTS(worker_commands); j++) {
@@ -546,10 +625,28 @@
             fault->ends_ms = now_ms;
         }
     }
+    soak_drill_hurry(now_ms);
     soak_faults_end_due(faults, now_ms);
     clear_fakes();
 }
 
+/* In most calm phases the store has just lost something, or told nothing of
+   it. The configuration rests then: the next version would repair what the
+   gateways have of it. */
+static void
+begin_calm(struct soak_faults *faults, uint64_t now_ms)
+{
+    uint32_t number = draw_number(faults->phases, 0, 5);
+    enum fault_kind kind = number < 2 ? FAULT_STORE_QUIET : FAULT_STORE_DRILL;
+
+    g_rand_set_seed(faults->details, g_rand_int(faults->phases));
+    end_all(faults, true, now_ms);
+    if (number < 4 && !faults->is_left_out[kind]) {
+        start_fault(faults, kind, 0, now_ms, 0);
+        faults->config_rests = true;
+    }
+}
+
 static void
 change_phase(struct soak_faults *faults, uint64_t now_ms)
 {
@@ -564,8 +661,9 @@
         faults->is_calm
             ? CALM_MS
             : draw_number(faults->phases, MIN_STORM_MS, MAX_STORM_MS);
+    faults->config_rests = false;
     if (faults->is_calm) {
-        end_all(faults, true, now_ms);
+        begin_calm(faults, now_ms);
     }
     printf("# %lu %s\n", (unsigned long)now_ms,
            faults->is_calm ? "calm" : "storm");
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -24,6 +24,11 @@
        are written while a request may be held before its gateway. */
     KEPT_VERSIONS = 120,
     GROWN_ROUTES = 1600,
+    /* What the operator and the workers write, as numbers of items. */
+    ITEM_CONFIG = 0,
+    ITEM_WORKERS = 1,
+    ITEM_ZONES = ITEM_WORKERS + SOAK_WORKERS,
+    ITEM_COUNT = ITEM_ZONES + SOAK_ZONES,
 };
 
 /* Unix time; the instances of a worker start a millisecond after each other.
@@ -36,6 +41,13 @@
     const char *ip;
     _Atomic uint32_t version;
     _Atomic uint32_t key;
+    uint32_t written_version; /* these may not be known to callers yet */
+    uint32_t written_key;
+    struct {
+        uint64_t written_ms;
+        bool lost; /* the store's copy may lack what was written */
+    } items[ITEM_COUNT];
+    bool evacuated[SOAK_ZONES];
     bool grown; /* the configuration has GROWN_ROUTES more */
     uint64_t born_ms[SOAK_WORKERS];
     uint64_t cold_until_ms[SOAK_WORKERS];
@@ -159,6 +171,7 @@
                  "\"service\":\"model\",\"public\":true,\"resumable\":true,"
                  "\"gap_aim_ms\":250");
     append_numbered_routes(out, 'v', oldest, version);
+    append_numbered_routes(out, 'r', version, version);
     if (operator.grown) {
         append_numbered_routes(out, 'g', 1, GROWN_ROUTES);
     }
@@ -166,8 +179,9 @@
 }
 
 static void
-write_config(uint32_t version, uint32_t key)
+write_config(void)
 {
+    uint32_t version = operator.written_version;
     char *list = format_routes(version);
     char *text = g_strdup_printf(
         "{\"version\":%u,\"routes\":[%s],\"services\":["
@@ -181,25 +195,122 @@
         "\"read_per_s\":150000.0,\"pairs_per_m\":0.16,\"chunk\":2048}}],"
         "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
         "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
-        "\"tenants\":[{\"name\":\"uspon\",\"api_keys\":[\"key-%u\"]}]}",
+        "\"tenants\":[{\"name\":\"uspon\",\"api_keys\":["
+        "\"key-%u\",\"key-%u\"]}]}",
         version, list, SOAK_COLD_START_MS / MS_PER_S, soak_cold_per_s(0),
-        SOAK_COLD_START_MS / MS_PER_S, soak_cold_per_s(SOAK_PLAIN_WORKERS),
-        key);
+        SOAK_COLD_START_MS / MS_PER_S,
+        soak_cold_per_s(SOAK_PLAIN_WORKERS), operator.written_key,
+        SOAK_PERMANENT_KEY);
 
     put_item("op/config", text);
     g_free(text);
     g_free(list);
 }
 
+static uint32_t
+worker_port(uint32_t worker)
+{
+    return worker + (operator.crashing != 0 && worker<SOAK_PLAIN_WORKERS
+                         ? SOAK_WORKER_PORT
+                         : SOAK_WORKER_PROXY_PORT);
+}
+
+static void
+write_registration(uint32_t worker)
+{
+    const char *state = operator.state[worker];
+    char *key = g_strdup_printf("servers/worker-%u", worker + 1);
+    uint64_t now_ms = fake_clock_ms();
+    uint64_t cold_until_ms = MAX(operator.cold_until_ms[worker], now_ms);
+    char *text;
+
+    if (state == NULL) {
+        remove_item(key);
+    }
+    else {
+        text = g_strdup_printf(
+            "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
+            "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
+            "\"cold_remaining_ms\":%lu,\"sequence\":1,\"born\":%lu}",
+            worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
+            worker_port(worker), zone_names[worker % SOAK_ZONES], state,
+            (unsigned long)(cold_until_ms - now_ms),
+            first_born_ms + (unsigned long)operator.born_ms[worker]);
+        put_item(key, text);
+        g_free(text);
+    }
+    g_free(key);
+}
+
+static void
+write_evacuation(uint32_t zone)
+{
+    char *key = g_strdup_printf("op/evacuate/%s", zone_names[zone]);
+
+    if (operator.evacuated[zone]) {
+        put_item(key, "{}");
+    }
+    else {
+        remove_item(key);
+    }
+    g_free(key);
+}
+
+/* Writes an item as it is now. */
+static void
+write_item(uint32_t item)
+{
+    if (item == ITEM_CONFIG) {
+        write_config();
+    }
+    else if (item < ITEM_ZONES) {
+        write_registration(item - ITEM_WORKERS);
+    }
+    else {
+        write_evacuation(item - ITEM_ZONES);
+    }
+    operator.items[item].written_ms = fake_clock_ms();
+    operator.items[item].lost = false;
+}
+
+bool
+soak_operator_drill(uint32_t age_ms)
+{
+    char *command = g_strdup_printf("drill?age_ms=%u", age_ms);
+    uint64_t copied_ms = fake_clock_ms() - age_ms;
+    bool ok = soak_operator_control_store(command);
+
+    for (uint32_t i = 0; ok && i < ITEM_COUNT; i++) {
+        operator.items[i].lost |= operator.items[i].written_ms >= copied_ms;
+    }
+    g_free(command);
+    return ok;
+}
+
+bool
+soak_operator_write_lost(uint32_t first)
+{
+    for (uint32_t i = 0; i < ITEM_COUNT; i++) {
+        uint32_t item = (first + i) % ITEM_COUNT;
+
+        if (operator.items[item].lost) {
+            write_item(item);
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Writes the next version, with that key. */
 static void
 write_version(uint32_t key)
 {
-    uint32_t version = operator.version + 1;
-
-    write_config(version, key);
-    soak_checker_changed(SOAK_CHANGE_VERSION_WRITTEN, version);
-    operator.version = version;
+    operator.written_version = operator.version + 1;
+    operator.written_key = key;
+    write_item(ITEM_CONFIG);
+    soak_checker_changed(
+        SOAK_CHANGE_VERSION_WRITTEN, operator.written_version);
+    operator.version = operator.written_version;
 }
 
 void
@@ -220,21 +331,13 @@
 {
     uint32_t key = operator.key + 1;
 
-    g_assert(key < SOAK_MAX_KEYS);
+    g_assert(key < SOAK_PERMANENT_KEY);
     write_version(key);
     soak_checker_changed(SOAK_CHANGE_KEY_ADDED, key);
     soak_checker_changed(SOAK_CHANGE_KEY_REMOVED, operator.key);
     operator.key = key;
 }
 
-static uint32_t
-worker_port(uint32_t worker)
-{
-    return worker + (operator.crashing != 0 && worker<SOAK_PLAIN_WORKERS
-                         ? SOAK_WORKER_PORT
-                         : SOAK_WORKER_PROXY_PORT);
-}
-
 static void
 register_plain_workers(void)
 {
@@ -277,48 +380,25 @@
 void
 soak_operator_set_registration(uint32_t worker, const char *state)
 {
-    char *key = g_strdup_printf("servers/worker-%u", worker + 1);
-    uint64_t now_ms = fake_clock_ms();
-    uint64_t cold_until_ms = MAX(operator.cold_until_ms[worker], now_ms);
-    char *text;
-
-    if (state == NULL) {
-        remove_item(key);
-    }
-    else {
-        text = g_strdup_printf(
-            "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
-            "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
-            "\"cold_remaining_ms\":%lu,\"sequence\":1,\"born\":%lu}",
-            worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
-            worker_port(worker), zone_names[worker % SOAK_ZONES], state,
-            (unsigned long)(cold_until_ms - now_ms),
-            first_born_ms + (unsigned long)operator.born_ms[worker]);
-        put_item(key, text);
-        g_free(text);
-    }
+    operator.state[worker] = state;
+    write_item(ITEM_WORKERS + worker);
     soak_checker_changed(state == NULL || strcmp(state, "ready") != 0
                              ? SOAK_CHANGE_WORKER_DRAINS
                              : SOAK_CHANGE_WORKER_READY,
                          worker);
-    operator.state[worker] = state;
-    g_free(key);
 }
 
 void
 soak_operator_evacuate(uint32_t zone, bool evacuated)
 {
-    char *key = g_strdup_printf("op/evacuate/%s", zone_names[zone]);
-
+    operator.evacuated[zone] = evacuated;
+    if (!evacuated) {
+        soak_checker_changed(SOAK_CHANGE_ZONE_IN_USE, zone);
+    }
+    write_item(ITEM_ZONES + zone);
     if (evacuated) {
-        put_item(key, "{}");
         soak_checker_changed(SOAK_CHANGE_ZONE_EVACUATED, zone);
     }
-    else {
-        soak_checker_changed(SOAK_CHANGE_ZONE_IN_USE, zone);
-        remove_item(key);
-    }
-    g_free(key);
 }
 
 bool
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -14,7 +14,8 @@
 void soak_operator_init(const char *ip);
 
 /* Writes the next version of the configuration, with one more route, /vN for
-   version N. Blocks until the store has accepted it. */
+   version N, and with /rN, which the version after it lacks. Blocks until the
+   store has accepted it. */
 void soak_operator_add_route(void);
 /* The same, with 1,600 further routes from now on, or without them. */
 void soak_operator_grow(bool grown);
@@ -34,6 +35,13 @@
    accepted it. */
 void soak_operator_evacuate(uint32_t zone, bool evacuated);
 
+/* The store comes back from a copy of itself of that age. Returns whether it
+   got the command. What it may lack is written again, as it is by then, by
+   soak_operator_write_lost(), one item each time: the next one from first on,
+   any number. That returns false if there was none. */
+bool soak_operator_drill(uint32_t age_ms);
+bool soak_operator_write_lost(uint32_t first);
+
 /* Lets callers send a request that crashes the plain workers, another one each
    time, until soak_operator_end_crashing(). Meanwhile these are registered
    without their proxies, which would accept connections for a worker that has
