--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -8,6 +8,7 @@
 #include "tests/fakes/fake_server.h"
 #include "tests/soak/soak_checker.h"
 #include "tests/soak/soak_client.h"
+#include "tests/soak/soak_fault_kinds.h"
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/soak_operator.h"
 
@@ -22,6 +23,12 @@
     SLOW_RESPONSE_MS = 1500,
     STREAM_TIMEOUT_MS = 4000,
     LARGE_TIMEOUT_MS = 6000,
+    TRICKLED_TIMEOUT_MS = 30000,
+    /* 1 to 50 KB/s. */
+    TRICKLED_BYTES = 2048,
+    MIN_TRICKLE_PAUSE_MS = 40,
+    MAX_TRICKLE_PAUSE_MS = 400,
+    MAX_STALL_MS = 7000,
     EVENTS = 12,
     LONG_EVENTS = 60, /* the stream takes over a second */
     MIN_READ_PAUSE_MS = 1,
@@ -30,6 +37,7 @@
     MAX_DISCONNECT_MS = 800,
     EARLIER_VERSIONS = 8, /* that are asked for beside the newest */
     STATUS_OK = 200,
+    IDLE_CONNECTIONS = SOAK_GATEWAY_DESCRIPTORS + 50,
     PROBE_CALLER = 9999, /* caller number in the ids of probes */
 };
 
@@ -67,9 +75,12 @@
        caller. */
     [SOAK_REQUEST_SLOWLY_READ] = {0.02, STREAM_TIMEOUT_MS, 120, 24 * 1024,
                                   1000},
+    [SOAK_REQUEST_TRICKLED] = {0.0, TRICKLED_TIMEOUT_MS, 20, 3000, 1000},
     [SOAK_REQUEST_CRASHING] = {0.0, PLAIN_TIMEOUT_MS, 0, 0, 0},
 };
 
+static struct soak_client *idle_clients[SOAK_GATEWAYS][IDLE_CONNECTIONS];
+
 static bool
 chance(struct caller *caller, double share)
 {
@@ -80,11 +91,16 @@
 choose_kind(struct caller *caller)
 {
     static const double crashing_share = 0.1;
+    static const double trickled_share = 0.03;
     double draw = g_rand_double(caller->random);
 
     if (soak_operator_crashing() != 0 && chance(caller, crashing_share)) {
         return SOAK_REQUEST_CRASHING;
     }
+    if (soak_fault_kind_is_active(FAULT_SLOW_READERS) &&
+        chance(caller, trickled_share)) {
+        return SOAK_REQUEST_TRICKLED;
+    }
     for (int i = 0; i < SOAK_REQUEST_KIND_COUNT; i++) {
         draw -= kinds[i].share;
         if (draw < 0.0) {
@@ -135,10 +151,39 @@
 
     request->timeout_ms = kind->timeout_ms;
     request->disconnect_ms = request->timeout_ms + DISCONNECT_DELAY_MS;
+    request->method = request->kind == SOAK_REQUEST_SAFE ? "PUT" : "POST";
     request->events = kind->events;
     request->event_bytes = kind->event_bytes;
 }
 
+static void
+choose_method(struct caller *caller, struct soak_request *request)
+{
+    static const char *const methods[] = {"GET", "POST", "HEAD", "OPTIONS"};
+
+    if (soak_fault_kind_is_active(FAULT_METHODS) &&
+        request->kind != SOAK_REQUEST_CRASHING) {
+        request->method = methods[g_rand_int_range(caller->random, 0,
+                                                   G_N_ELEMENTS(methods))];
+    }
+}
+
+static void
+choose_reading(struct caller *caller, struct soak_request *request)
+{
+    if (request->kind == SOAK_REQUEST_SLOWLY_READ) {
+        request->read_pause_ms = (uint32_t)g_rand_int_range(
+            caller->random, MIN_READ_PAUSE_MS, MAX_READ_PAUSE_MS);
+    }
+    else if (request->kind == SOAK_REQUEST_TRICKLED) {
+        request->read_pause_ms = (uint32_t)g_rand_int_range(
+            caller->random, MIN_TRICKLE_PAUSE_MS, MAX_TRICKLE_PAUSE_MS);
+        request->read_bytes = TRICKLED_BYTES;
+        request->stall_ms =
+            (uint32_t)g_rand_int_range(caller->random, 0, MAX_STALL_MS);
+    }
+}
+
 static void
 choose_request(struct caller *caller, struct soak_request *request)
 {
@@ -153,10 +198,8 @@
         request->crashing = soak_operator_crashing();
     }
     apply_kind(request);
-    if (request->kind == SOAK_REQUEST_SLOWLY_READ) {
-        request->read_pause_ms = (uint32_t)g_rand_int_range(
-            caller->random, MIN_READ_PAUSE_MS, MAX_READ_PAUSE_MS);
-    }
+    choose_method(caller, request);
+    choose_reading(caller, request);
     if (request->kind == SOAK_REQUEST_STREAM && chance(caller, 0.2)) {
         request->events = LONG_EVENTS;
         request->disconnect_ms = (uint64_t)g_rand_int_range(
@@ -184,6 +227,7 @@
     case SOAK_REQUEST_STREAM:
     case SOAK_REQUEST_LARGE:
     case SOAK_REQUEST_SLOWLY_READ:
+    case SOAK_REQUEST_TRICKLED:
     case SOAK_REQUEST_KIND_COUNT:
         break;
     }
@@ -206,8 +250,8 @@
         "%s %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\n"
         "Deadline-Ms: %lu\r\nCredential: key-%u\r\n%sContent-Length: 4\r\n"
         "\r\nbody",
-        request->kind == SOAK_REQUEST_SAFE ? "PUT" : "POST", target,
-        request->id, (unsigned long)request->timeout_ms, request->key, usage);
+        request->method, target, request->id,
+        (unsigned long)request->timeout_ms, request->key, usage);
     g_free(usage);
     g_free(target);
     return text;
@@ -227,8 +271,15 @@
     request->sent_ms = fake_clock_ms();
     request->reused_connection = soak_client_is_open(client);
     recorded = soak_checker_request_sent(request);
-    soak_client_call(client, text, request->disconnect_ms,
-                     request->read_pause_ms, &response);
+    soak_client_call(
+        client,
+        &(struct soak_call){.text = text,
+                            .is_head = soak_checker_is_head(request),
+                            .disconnect_ms = request->disconnect_ms,
+                            .read_pause_ms = request->read_pause_ms,
+                            .read_bytes = request->read_bytes,
+                            .stall_ms = request->stall_ms},
+        &response);
     soak_checker_request_ended(recorded, &response, fake_clock_ms());
     outcome = response.outcome;
     *status = response.status;
@@ -337,6 +388,30 @@
     g_free(callers);
 }
 
+void
+soak_callers_open_idle(const struct soak_fleet *fleet, uint32_t gateway)
+{
+    static const struct soak_call call = {
+        .text = "GET /none/ HTTP/1.1\r\nHost: a.example\r\n\r\n",
+    };
+
+    for (uint32_t i = 0; i < IDLE_CONNECTIONS; i++) {
+        struct soak_client *client =
+            create_client(fleet, SOAK_GATEWAY_PORT + gateway);
+
+        soak_client_send(client, &call);
+        idle_clients[gateway][i] = client;
+    }
+}
+
+void
+soak_callers_close_idle(uint32_t gateway)
+{
+    for (uint32_t i = 0; i < IDLE_CONNECTIONS; i++) {
+        soak_client_destroy(idle_clients[gateway][i]);
+    }
+}
+
 static bool
 probe_kind(const struct soak_fleet *fleet, uint32_t gateway,
            enum soak_request_kind kind)
--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -145,6 +145,12 @@
            request->kind == SOAK_REQUEST_SLOW;
 }
 
+bool
+soak_checker_is_head(const struct soak_request *request)
+{
+    return strcmp(request->method, "HEAD") == 0;
+}
+
 /* Whether it is on the route that needs an API key. */
 static bool
 has_account(const struct soak_request *request)
@@ -183,6 +189,9 @@
             "own", request,
             "the response is not signed, or belongs to another request");
     }
+    if (soak_checker_is_head(request)) {
+        return;
+    }
     if (request->events > 0) {
         check_events(request, response->body);
     }
@@ -367,6 +376,9 @@
     uint64_t removed_ms = checker.key_removed_ms[request->key];
     uint64_t draining_ms = checker.draining_ms[worker];
 
+    if ((worker < SOAK_PLAIN_WORKERS) != (request->events == 0)) {
+        fail_request("service", request, "ran at a worker of another service");
+    }
     if (strcmp(credential, "-") != 0 ||
         strcmp(account, has_account(request) ? "uspon" : "-") != 0) {
         fail_request("unasked", request,
@@ -562,6 +574,17 @@
     pthread_mutex_unlock(&checker.lock);
 }
 
+/* Whether the caller may still have been reading at the end of the grace of
+   a gateway that was told to end. */
+static bool
+outlasts_grace(const struct soak_request *request)
+{
+    return request->kind == SOAK_REQUEST_TRICKLED &&
+           !soak_disturbance_none_at(SOAK_DISTURBANCE_RESTART,
+                                     request->gateway, request->sent_ms,
+                                     request->ended_ms);
+}
+
 /* Checks that no response was cut off without a disturbance. A gateway's
    planned end doesn't count as one. */
 static void
@@ -576,6 +599,7 @@
              LOSS_SLACK_MS + soak_disturbance_lag_ms(request->sent_ms,
                                                      request->ended_ms)) ||
         !gateway_undisturbed(request, request->sent_ms, request->ended_ms) ||
+        outlasts_grace(request) ||
         !soak_disturbance_none_anywhere(SOAK_DISTURBANCE_WORKER,
                                         request->sent_ms - SOAK_SETTLE_MS,
                                         request->ended_ms)) {
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -50,6 +50,8 @@
     /* Event stream whose caller reads more slowly than the worker sends, and
        leaves bytes of it unread at the gateway. */
     SOAK_REQUEST_SLOWLY_READ,
+    /* Event stream that is read at 1 to 50 KB/s, with a pause of seconds. */
+    SOAK_REQUEST_TRICKLED,
     SOAK_REQUEST_CRASHING, /* plain, crashes the workers that run it */
     SOAK_REQUEST_KIND_COUNT,
 };
@@ -66,7 +68,10 @@
     uint32_t crashing;      /* number of a crashing request; 0: another kind */
     uint32_t events;        /* expected in the response; 0: no stream */
     uint32_t event_bytes;   /* added to each event */
-    uint32_t read_pause_ms; /* of the caller between reads; 0: none */
+    const char *method;
+    uint32_t read_pause_ms; /* these as in struct soak_call */
+    uint32_t read_bytes;
+    uint32_t stall_ms;
     uint64_t sent_ms;
     uint64_t timeout_ms;    /* duration; sent in Deadline-Ms */
     uint64_t disconnect_ms; /* duration after which the caller disconnects */
@@ -97,6 +102,9 @@
                                 const struct soak_response *response,
                                 uint64_t now_ms);
 
+/* Whether its response has no body. */
+bool soak_checker_is_head(const struct soak_request *request);
+
 /* Takes a line of a worker's standard output, see fake_worker.c. */
 void soak_checker_worker_line(uint32_t worker, const char *line);
 
--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -12,7 +12,8 @@
 
 enum {
     READ_BYTES = 16 * 1024,
-    SLOW_RECEIVE_BYTES = 8 * 1024,
+    SLOW_RECEIVE_BYTES = 4 * 1024,
+    EXTRA_BYTES_MS = 30, /* wait for bytes after the response to a HEAD */
     US_PER_MS = 1000,
     CONNECT_TIMEOUT_MS = 1000,
 };
@@ -24,7 +25,9 @@
     http_parser parser;
     char header_name[64]; /* of the header that is being parsed */
     struct soak_response *response;
+    bool is_head;
     bool is_complete;
+    bool has_extra; /* another response begins after the complete one */
 };
 
 static int
@@ -62,7 +65,7 @@
     struct soak_client *client = parser->data;
 
     client->response->status = parser->status_code;
-    return 0;
+    return client->is_head ? 1 : 0; /* 1: has no body */
 }
 
 static int
@@ -74,6 +77,15 @@
     return 0;
 }
 
+static int
+on_begin(http_parser *parser)
+{
+    struct soak_client *client = parser->data;
+
+    client->has_extra = client->is_complete;
+    return 0;
+}
+
 static int
 on_complete(http_parser *parser)
 {
@@ -84,6 +96,7 @@
 }
 
 static const http_parser_settings parser_settings = {
+    .on_message_begin = on_begin,
     .on_header_field = on_field,
     .on_header_value = on_value,
     .on_headers_complete = on_headers,
@@ -135,16 +148,24 @@
            poll(&item, 1, (int)(deadline_ms - now_ms)) > 0;
 }
 
-static bool
-open_connection(struct soak_client *client, bool slow)
+static struct sockaddr_in
+address(const struct soak_client *client)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_port = htons(client->port)};
+
+    inet_pton(AF_INET, client->ip, &at.sin_addr);
+    return at;
+}
+
+static bool
+open_connection(struct soak_client *client, bool slow)
+{
+    struct sockaddr_in at = address(client);
     const int slow_bytes = SLOW_RECEIVE_BYTES;
     int error = 0;
     socklen_t size = sizeof(error);
 
-    inet_pton(AF_INET, client->ip, &at.sin_addr);
     client->fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (slow) {
@@ -185,12 +206,25 @@
     return true;
 }
 
+void
+soak_client_send(struct soak_client *client, const struct soak_call *call)
+{
+    struct sockaddr_in at = address(client);
+
+    client->fd =
+        socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    connect(client->fd, (const struct sockaddr *)&at, sizeof(at));
+    send(client->fd, call->text, strlen(call->text), MSG_NOSIGNAL);
+}
+
 /* Reads once. Returns whether more of the response may follow. */
 static bool
-read_response(struct soak_client *client, struct soak_response *response)
+read_response(struct soak_client *client, const struct soak_call *call,
+              struct soak_response *response)
 {
     char bytes[READ_BYTES];
-    ssize_t count = recv(client->fd, bytes, sizeof(bytes), 0);
+    size_t limit = call->read_bytes > 0 ? call->read_bytes : sizeof(bytes);
+    ssize_t count = recv(client->fd, bytes, limit, 0);
     size_t parsed;
 
     if (count < 0 && errno == EAGAIN) {
@@ -198,6 +232,10 @@
     }
     parsed = http_parser_execute(&client->parser, &parser_settings, bytes,
                                  count > 0 ? (size_t)count : 0);
+    if (count > 0 && (parsed != (size_t)count || client->has_extra)) {
+        response->outcome = SOAK_OUTCOME_INVALID;
+        return false;
+    }
     if (client->is_complete) {
         response->outcome = SOAK_OUTCOME_COMPLETE;
         return false;
@@ -206,38 +244,61 @@
         response->outcome = SOAK_OUTCOME_CUT;
         return false;
     }
-    if (parsed != (size_t)count) {
+    return true;
+}
+
+static bool
+has_unread_bytes(const struct soak_client *client)
+{
+    char byte;
+
+    return recv(client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static void
+exchange(struct soak_client *client, const struct soak_call *call,
+         struct soak_response *response)
+{
+    uint64_t deadline_ms = fake_clock_ms() + call->disconnect_ms;
+    uint32_t pause_ms = call->read_pause_ms + call->stall_ms;
+
+    if (has_unread_bytes(client)) {
+        response->outcome = SOAK_OUTCOME_INVALID;
+        return;
+    }
+    response->outcome = SOAK_OUTCOME_CUT;
+    if (!send_all(client, call->text, deadline_ms)) {
+        return;
+    }
+    response->outcome = SOAK_OUTCOME_CALLER_LEFT;
+    while (wait_for(client->fd, POLLIN, deadline_ms) &&
+           read_response(client, call, response)) {
+        usleep((useconds_t)pause_ms * US_PER_MS);
+        pause_ms = call->read_pause_ms;
+    }
+    if (response->outcome == SOAK_OUTCOME_COMPLETE && call->is_head &&
+        wait_for(client->fd, POLLIN, fake_clock_ms() + EXTRA_BYTES_MS) &&
+        has_unread_bytes(client)) {
         response->outcome = SOAK_OUTCOME_INVALID;
-        return false;
     }
-    return true;
 }
 
 void
-soak_client_call(struct soak_client *client, const char *request,
-                 uint64_t disconnect_ms, uint32_t read_pause_ms,
+soak_client_call(struct soak_client *client, const struct soak_call *call,
                  struct soak_response *response)
 {
-    uint64_t deadline_ms;
-
     *response = (struct soak_response){.body = g_string_new(NULL)};
-    if (client->fd < 0 && !open_connection(client, read_pause_ms != 0)) {
+    if (client->fd < 0 && !open_connection(client, call->read_pause_ms != 0)) {
         response->outcome = SOAK_OUTCOME_UNSENT;
         return;
     }
     client->response = response;
+    client->is_head = call->is_head;
     client->is_complete = false;
+    client->has_extra = false;
     http_parser_init(&client->parser, HTTP_RESPONSE);
     client->parser.data = client;
-    deadline_ms = fake_clock_ms() + disconnect_ms;
-    response->outcome = SOAK_OUTCOME_CUT;
-    if (send_all(client, request, deadline_ms)) {
-        response->outcome = SOAK_OUTCOME_CALLER_LEFT;
-        while (wait_for(client->fd, POLLIN, deadline_ms) &&
-               read_response(client, response)) {
-            usleep((useconds_t)read_pause_ms * US_PER_MS);
-        }
-    }
+    exchange(client, call, response);
     if (response->outcome != SOAK_OUTCOME_COMPLETE ||
         !http_should_keep_alive(&client->parser)) {
         disconnect(client);
--- a/tests/soak/soak_client.h
+++ b/tests/soak/soak_client.h
@@ -36,14 +36,28 @@
 /* Whether the next request reuses the connection of the last one. */
 bool soak_client_is_open(const struct soak_client *client);
 
-/* Sends a whole request, head and body, and reads its response. Waits up
-   to a second for a new connection, then up to disconnect_ms for the response.
-   If read_pause_ms is not 0, reads a few KiB at a time and pauses for so long
-   after each, with a small receive buffer if the connection is a new one.
-   Disconnects unless the response is complete and lets the connection be
-   reused. Fills *response; clear it with soak_client_clear_response(). */
-void soak_client_call(struct soak_client *client, const char *request,
-                      uint64_t disconnect_ms, uint32_t read_pause_ms,
+struct soak_call {
+    const char *text; /* the whole request, head and body */
+    bool is_head;     /* the response has no body, whatever its head says */
+    uint64_t disconnect_ms; /* duration */
+    uint32_t read_pause_ms; /* between reads; 0: none */
+    uint32_t read_bytes;    /* at most, each time; 0: 16 KiB */
+    uint32_t stall_ms;      /* pause after the first read */
+};
+
+/* Connects and sends a request without waiting for either, and reads nothing.
+ */
+void soak_client_send(struct soak_client *client,
+                      const struct soak_call *call);
+
+/* Sends a request and reads its response. Waits up to a second for a new
+   connection, then up to disconnect_ms for the response. If read_pause_ms is
+   not 0, the receive buffer of a new connection is small. Disconnects unless
+   the response is complete and lets the connection be reused. A byte that
+   belongs to no response, before the request or, if is_head, just after the
+   response, makes it invalid. Fills *response; clear it with
+   soak_client_clear_response(). */
+void soak_client_call(struct soak_client *client, const struct soak_call *call,
                       struct soak_response *response);
 void soak_client_clear_response(struct soak_response *response);
 
--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -1,5 +1,6 @@
 #include "tests/soak/soak_fault_kinds.h"
 
+#include <stdatomic.h>
 #include <stddef.h>
 
 #include "tests/soak/soak_checker.h"
@@ -16,6 +17,7 @@
     PLANNED = SOAK_FAULT_PLANNED,
     CHANGE = STORE | PLANNED,
     CONFIGURES = CHANGE | SOAK_FAULT_CONFIGURES,
+    NAMED = PLANNED | SOAK_FAULT_IF_NAMED,
     AWAY = CHANGE | SOAK_FAULT_TAKES_WORKER_AWAY,
 };
 
@@ -83,4 +85,24 @@
                            SOAK_DISTURBANCE_STORE, "quiet?on=1", "quiet?on=0"},
     [FAULT_STORE_DRILL] = {"store-drill", 1, SHORT, DISTURBS | STORE,
                            SOAK_DISTURBANCE_STORE, NULL, NULL},
+    [FAULT_ODD_ENTRIES] = {"odd-entries", SOAK_WORKERS, LONG, STORE | NAMED, 0,
+                           NULL, NULL},
+    [FAULT_METHODS] = {"methods", 1, LONG, NAMED, 0, NULL, NULL},
+    [FAULT_SLOW_READERS] = {"slow-readers", 1, LONG, NAMED, 0, NULL, NULL},
+    [FAULT_IDLE_CALLERS] = {"idle-callers", SOAK_GATEWAYS, LONG, NAMED, 0,
+                            NULL, NULL},
 };
+
+static _Atomic bool active_kinds[FAULT_KIND_COUNT];
+
+bool
+soak_fault_kind_is_active(enum fault_kind kind)
+{
+    return active_kinds[kind];
+}
+
+void
+soak_fault_kind_set_active(enum fault_kind kind, bool active)
+{
+    active_kinds[kind] = active;
+}
--- a/tests/soak/soak_fault_kinds.h
+++ b/tests/soak/soak_fault_kinds.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SOAK_FAULT_KINDS_H
 #define TESTS_SOAK_FAULT_KINDS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "tests/soak/soak_disturbance.h"
@@ -39,6 +40,10 @@
     FAULT_VERSIONS,
     FAULT_STORE_QUIET,
     FAULT_STORE_DRILL,
+    FAULT_ODD_ENTRIES,
+    FAULT_METHODS,
+    FAULT_SLOW_READERS,
+    FAULT_IDLE_CALLERS,
     FAULT_KIND_COUNT,
 };
 
@@ -51,6 +56,7 @@
     /* The worker gets no new requests meanwhile. */
     SOAK_FAULT_TAKES_WORKER_AWAY = 8,
     SOAK_FAULT_CONFIGURES = 16, /* writes a version of the configuration */
+    SOAK_FAULT_IF_NAMED = 32,   /* only if selected by its name */
 };
 
 struct soak_fault_kind {
@@ -65,4 +71,8 @@
 
 extern const struct soak_fault_kind soak_fault_kinds[FAULT_KIND_COUNT];
 
+/* Whether callers behave in that way now. Any thread. */
+bool soak_fault_kind_is_active(enum fault_kind kind);
+void soak_fault_kind_set_active(enum fault_kind kind, bool active);
+
 #endif
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -6,10 +6,12 @@
 #include <string.h>
 
 #include "tests/fakes/fake_server.h"
+#include "tests/soak/soak_callers.h"
 #include "tests/soak/soak_checker.h"
 #include "tests/soak/soak_drill.h"
 #include "tests/soak/soak_fault_kinds.h"
 #include "tests/soak/soak_fleet.h"
+#include "tests/soak/soak_odd_entries.h"
 #include "tests/soak/soak_operator.h"
 #include "tests/soak/soak_proxy.h"
 #include "tests/soak/soak_restarts.h"
@@ -78,6 +80,12 @@
     uint32_t count;
 };
 
+static bool
+has_flag(enum fault_kind kind, enum soak_fault_flags flag)
+{
+    return (soak_fault_kinds[kind].flags & flag) != 0;
+}
+
 struct soak_faults *
 soak_faults_create(struct soak_fleet *fleet, uint64_t seed)
 {
@@ -89,6 +97,9 @@
     faults->phases = g_rand_new_with_seed((guint32)seed + 1);
     faults->details = g_rand_new_with_seed(0);
     faults->active = g_ptr_array_new_with_free_func(g_free);
+    for (int i = 0; i < FAULT_KIND_COUNT; i++) {
+        faults->is_left_out[i] = has_flag(i, SOAK_FAULT_IF_NAMED);
+    }
     return faults;
 }
 
@@ -151,12 +162,6 @@
     return false;
 }
 
-static bool
-has_flag(enum fault_kind kind, enum soak_fault_flags flag)
-{
-    return (soak_fault_kinds[kind].flags & flag) != 0;
-}
-
 /* Only one worker is away at a time, so that others can serve. Its
    registration may lapse while it says that it is leaving. */
 static bool
@@ -366,6 +371,7 @@
     if (proxy != NULL) {
         disturb_proxy(faults, proxy);
     }
+    soak_fault_kind_set_active(fault->kind, true);
     begin_signal(faults, fault);
     send_command(fault, soak_fault_kinds[fault->kind].on_command);
     if (fault->kind == FAULT_ADD_ROUTE) {
@@ -391,6 +397,14 @@
         fault->version_ms =
             draw_number(faults->details, MIN_VERSION_MS, MAX_VERSION_MS);
     }
+    else if (fault->kind == FAULT_ODD_ENTRIES) {
+        soak_odd_entries_write(
+            fault->index,
+            draw_number(faults->details, 0, soak_odd_entries_count()));
+    }
+    else if (fault->kind == FAULT_IDLE_CALLERS) {
+        soak_callers_open_idle(faults->fleet, fault->index);
+    }
     else if (fault->kind == FAULT_STORE_QUIET) {
         begin_quiet(faults, fault);
     }
@@ -419,6 +433,7 @@
 {
     struct soak_proxy *proxy = fault_proxy(faults, fault);
 
+    soak_fault_kind_set_active(fault->kind, false);
     if (proxy != NULL) {
         soak_proxy_set_mode(proxy, SOAK_PROXY_PASS, 0);
     }
@@ -444,6 +459,13 @@
     case FAULT_EVACUATE:
         end_evacuation(faults, fault, now_ms);
         break;
+    case FAULT_ODD_ENTRIES:
+        soak_odd_entries_remove();
+        soak_operator_register_again(fault->index);
+        break;
+    case FAULT_IDLE_CALLERS:
+        soak_callers_close_idle(fault->index);
+        break;
     case FAULT_STORE_QUIET:
         /* Watches are cut at times, and the events in between are gone. */
         if (draw_number(faults->details, 0, 2) == 0) {
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -251,15 +251,19 @@
 create_gateway(const struct soak_fleet *fleet, uint32_t n)
 {
     char *name = g_strdup_printf("gateway-%u", n + 1);
-    char **arguments = g_new0(char *, 4);
+    char **arguments = g_new0(char *, 6);
     struct soak_process *process;
 
-    arguments[0] =
-        g_strdup_printf("%s/dandelionfork-gateway", fleet->settings.bin_dir);
-    arguments[1] = g_strdup("--settings");
+    arguments[0] = g_strdup("/bin/sh");
+    arguments[1] = g_strdup("-c");
     arguments[2] =
+        g_strdup_printf("ulimit -n %d && exec \"$0\" --settings \"$1\"",
+                        SOAK_GATEWAY_DESCRIPTORS);
+    arguments[3] =
+        g_strdup_printf("%s/dandelionfork-gateway", fleet->settings.bin_dir);
+    arguments[4] =
         g_strdup_printf("%s/%s.ini", fleet->settings.work_dir, name);
-    write_settings(fleet, arguments[2], n);
+    write_settings(fleet, arguments[4], n);
     process = create_process(fleet, name, arguments);
     g_free(name);
     return process;
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -43,6 +43,8 @@
     SOAK_CALLERS_PROXY_PORT = 7601,
     SOAK_STORE_PROXY_PORT = 7701,
     SOAK_WORKER_PROXY_PORT = 7801,
+    /* That a gateway may have, many more than it needs for the callers. */
+    SOAK_GATEWAY_DESCRIPTORS = 400,
 };
 
 /* Creates the proxies and processes, and starts the store and the workers, but
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -87,7 +87,10 @@
                                     method, target, strlen(body), body);
     char *text = NULL;
 
-    soak_client_call(client, request, CALL_TIMEOUT_MS, 0, &response);
+    soak_client_call(
+        client,
+        &(struct soak_call){.text = request, .disconnect_ms = CALL_TIMEOUT_MS},
+        &response);
     if (response.outcome == SOAK_OUTCOME_COMPLETE &&
         response.status == STATUS_OK) {
         text = g_strdup(response.body->str);
@@ -105,8 +108,8 @@
     return text;
 }
 
-static void
-put_item(const char *key, const char *value)
+void
+soak_operator_put(const char *key, const char *value)
 {
     char *target = g_strdup_printf("/control/put?key=%s", key);
     char *response = NULL;
@@ -119,8 +122,8 @@
     g_free(target);
 }
 
-static void
-remove_item(const char *key)
+void
+soak_operator_remove(const char *key)
 {
     char *command = g_strdup_printf("remove?key=%s", key);
 
@@ -202,7 +205,7 @@
         soak_cold_per_s(SOAK_PLAIN_WORKERS), operator.written_key,
         SOAK_PERMANENT_KEY);
 
-    put_item("op/config", text);
+    soak_operator_put("op/config", text);
     g_free(text);
     g_free(list);
 }
@@ -215,30 +218,38 @@
                          : SOAK_WORKER_PROXY_PORT);
 }
 
+char *
+soak_operator_worker_address(uint32_t worker)
+{
+    return g_strdup_printf("%s:%u", operator.ip, worker_port(worker));
+}
+
 static void
 write_registration(uint32_t worker)
 {
     const char *state = operator.state[worker];
     char *key = g_strdup_printf("servers/worker-%u", worker + 1);
+    char *address = soak_operator_worker_address(worker);
     uint64_t now_ms = fake_clock_ms();
     uint64_t cold_until_ms = MAX(operator.cold_until_ms[worker], now_ms);
     char *text;
 
     if (state == NULL) {
-        remove_item(key);
+        soak_operator_remove(key);
     }
     else {
         text = g_strdup_printf(
-            "{\"service\":\"%s\",\"address\":\"%s:%u\",\"zone\":\"%s\","
+            "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
             "\"version\":\"v1\",\"slots\":4,\"state\":\"%s\","
             "\"cold_remaining_ms\":%lu,\"sequence\":1,\"born\":%lu}",
-            worker < SOAK_PLAIN_WORKERS ? "plain" : "model", operator.ip,
-            worker_port(worker), zone_names[worker % SOAK_ZONES], state,
+            worker < SOAK_PLAIN_WORKERS ? "plain" : "model", address,
+            zone_names[worker % SOAK_ZONES], state,
             (unsigned long)(cold_until_ms - now_ms),
             first_born_ms + (unsigned long)operator.born_ms[worker]);
-        put_item(key, text);
+        soak_operator_put(key, text);
         g_free(text);
     }
+    g_free(address);
     g_free(key);
 }
 
@@ -248,10 +259,10 @@
     char *key = g_strdup_printf("op/evacuate/%s", zone_names[zone]);
 
     if (operator.evacuated[zone]) {
-        put_item(key, "{}");
+        soak_operator_put(key, "{}");
     }
     else {
-        remove_item(key);
+        soak_operator_remove(key);
     }
     g_free(key);
 }
@@ -401,6 +412,12 @@
     }
 }
 
+void
+soak_operator_register_again(uint32_t worker)
+{
+    write_item(ITEM_WORKERS + worker);
+}
+
 bool
 soak_operator_make_cold(uint32_t worker, uint64_t cold_ms, bool says)
 {
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -13,6 +13,11 @@
 /* Borrows ip, the address of all processes. */
 void soak_operator_init(const char *ip);
 
+/* Writes an item of any writer to the store, or removes it. Block until the
+   store has accepted it. */
+void soak_operator_put(const char *key, const char *value);
+void soak_operator_remove(const char *key);
+
 /* Writes the next version of the configuration, with one more route, /vN for
    version N, and with /rN, which the version after it lacks. Blocks until the
    store has accepted it. */
@@ -31,6 +36,11 @@
    removes it if state is NULL. Blocks until the store has accepted it. */
 void soak_operator_set_registration(uint32_t worker, const char *state);
 
+/* The same as it is, in place of what another writer has put there. */
+void soak_operator_register_again(uint32_t worker);
+/* Where gateways reach the worker. Free it with g_free(). */
+char *soak_operator_worker_address(uint32_t worker);
+
 /* Evacuates a data centre, or takes that back. Blocks until the store has
    accepted it. */
 void soak_operator_evacuate(uint32_t zone, bool evacuated);
