--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -91,6 +91,19 @@
     [FAULT_SLOW_READERS] = {"slow-readers", 1, LONG, NAMED, 0, NULL, NULL},
     [FAULT_IDLE_CALLERS] = {"idle-callers", SOAK_GATEWAYS, LONG, NAMED, 0,
                             NULL, NULL},
+    /* An earlier refusal once more, on a connection that it keeps. */
+    [FAULT_WORKER_REPEATS] =
+        {"worker-repeats-refusal", SOAK_WORKERS, LONG,
+         DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
+         "raw?when=kept&at=before", "raw",
+         "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\n"
+         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+    [FAULT_WORKER_FAILS_RESUMED] =
+        {"worker-fails-resumed", SOAK_WORKERS, LONG,
+         DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
+         "raw?when=resumed&at=before", "raw",
+         "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: @\r\n"
+         "Response-Signature: signed\r\nContent-Length: 7\r\n\r\nfailed\n"},
 };
 
 static _Atomic bool active_kinds[FAULT_KIND_COUNT];
--- a/tests/soak/soak_fault_kinds.h
+++ b/tests/soak/soak_fault_kinds.h
@@ -44,6 +44,8 @@
     FAULT_METHODS,
     FAULT_SLOW_READERS,
     FAULT_IDLE_CALLERS,
+    FAULT_WORKER_REPEATS,
+    FAULT_WORKER_FAILS_RESUMED,
     FAULT_KIND_COUNT,
 };
 
@@ -67,6 +69,7 @@
     enum soak_disturbance_kind disturbance_kind; /* SOAK_FAULT_DISTURBS */
     const char *on_command; /* under /control of the fake; NULL: none */
     const char *off_command;
+    const char *body; /* of on_command; NULL: none */
 };
 
 extern const struct soak_fault_kind soak_fault_kinds[FAULT_KIND_COUNT];
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -10,6 +10,7 @@
 #include "tests/soak/soak_checker.h"
 #include "tests/soak/soak_drill.h"
 #include "tests/soak/soak_fault_kinds.h"
+#include "tests/soak/soak_fault_targets.h"
 #include "tests/soak/soak_fleet.h"
 #include "tests/soak/soak_odd_entries.h"
 #include "tests/soak/soak_operator.h"
@@ -28,8 +29,6 @@
     MIN_STORM_MS = 3000,
     MAX_STORM_MS = 15000,
     CALM_MS = 9000,
-    MIN_DELAY_MS = 20,
-    MAX_DELAY_MS = 300,
     /* The grace of the gateways' settings. A gateway that exits later than
        GRACE_SLACK_MS after it breaks a guarantee. */
     GRACE_MS = 8000,
@@ -193,91 +192,11 @@
     return false;
 }
 
-static struct soak_proxy *
-fault_proxy(const struct soak_faults *faults, const struct fault *fault)
-{
-    switch (fault->kind) {
-    case FAULT_CALLERS_PROXY:
-        return faults->fleet->callers_proxy[fault->index];
-    case FAULT_STORE_PROXY:
-        return faults->fleet->store_proxy[fault->index];
-    case FAULT_WORKER_PROXY:
-        return faults->fleet->worker_proxy[fault->index];
-    default:
-        return NULL;
-    }
-}
-
-static void
-disturb_proxy(struct soak_faults *faults, struct soak_proxy *proxy)
-{
-    static const enum soak_proxy_mode modes[] = {
-        SOAK_PROXY_PASS,           SOAK_PROXY_DELAY,
-        SOAK_PROXY_HOLD_TO_SERVER, SOAK_PROXY_HOLD_FROM_SERVER,
-        SOAK_PROXY_HOLD_BOTH,      SOAK_PROXY_REFUSE};
-    enum soak_proxy_mode mode =
-        modes[draw_number(faults->details, 0, G_N_ELEMENTS(modes))];
-
-    soak_proxy_set_mode(
-        proxy, mode, draw_number(faults->details, MIN_DELAY_MS, MAX_DELAY_MS));
-    if (mode == SOAK_PROXY_PASS || mode == SOAK_PROXY_REFUSE) {
-        soak_proxy_reset(proxy);
-    }
-}
-
-static struct soak_process *
-fault_process(const struct soak_faults *faults, const struct fault *fault)
-{
-    switch (fault->kind) {
-    case FAULT_PAUSE_GATEWAY:
-    case FAULT_KILL_GATEWAY:
-    case FAULT_TERM_GATEWAY:
-    case FAULT_HUP_GATEWAY:
-        return faults->fleet->gateways[fault->index];
-    case FAULT_PAUSE_WORKER:
-    case FAULT_KILL_WORKER:
-        return faults->fleet->workers[fault->index];
-    case FAULT_STORE_PAUSE:
-        return faults->fleet->store;
-    default:
-        return NULL;
-    }
-}
-
-static void
-begin_signal(const struct soak_faults *faults, struct fault *fault)
-{
-    struct soak_process *process = fault_process(faults, fault);
-
-    if (process != NULL) {
-        fault->incarnation = soak_process_incarnation(process);
-    }
-    switch (fault->kind) {
-    case FAULT_PAUSE_GATEWAY:
-    case FAULT_PAUSE_WORKER:
-    case FAULT_STORE_PAUSE:
-        soak_process_signal(process, SIGSTOP);
-        break;
-    case FAULT_KILL_GATEWAY:
-    case FAULT_KILL_WORKER:
-        soak_process_signal(process, SIGKILL);
-        break;
-    case FAULT_TERM_GATEWAY:
-        soak_process_signal(process, SIGTERM);
-        break;
-    case FAULT_HUP_GATEWAY:
-        if (soak_process_has_started(process)) {
-            soak_process_signal(process, SIGHUP);
-        }
-        break;
-    default:
-        break;
-    }
-}
-
 static void
 send_command(const struct fault *fault, const char *command)
 {
+    const char *body = soak_fault_kinds[fault->kind].body;
+
     if (command == NULL) {
         return;
     }
@@ -288,7 +207,8 @@
         soak_operator_control_store(command);
     }
     else {
-        soak_operator_control_worker(fault->index, command);
+        soak_operator_control_worker_with(fault->index, command,
+                                          body != NULL ? body : "");
     }
 }
 
@@ -360,7 +280,9 @@
 static void
 begin_fault(struct soak_faults *faults, struct fault *fault)
 {
-    struct soak_proxy *proxy = fault_proxy(faults, fault);
+    struct soak_proxy *proxy =
+        soak_fault_proxy(faults->fleet, fault->kind, fault->index);
+    struct soak_process *process;
 
     if (has_flag(fault->kind, SOAK_FAULT_DISTURBS)) {
         fault->disturbance_number = soak_disturbance_begin(
@@ -369,10 +291,14 @@
         fault->has_disturbance = true;
     }
     if (proxy != NULL) {
-        disturb_proxy(faults, proxy);
+        soak_fault_disturb_proxy(proxy, faults->details);
     }
     soak_fault_kind_set_active(fault->kind, true);
-    begin_signal(faults, fault);
+    process = soak_fault_process(faults->fleet, fault->kind, fault->index);
+    if (process != NULL) {
+        fault->incarnation = soak_process_incarnation(process);
+        soak_fault_signal(process, fault->kind);
+    }
     send_command(fault, soak_fault_kinds[fault->kind].on_command);
     if (fault->kind == FAULT_ADD_ROUTE) {
         soak_operator_add_route();
@@ -398,6 +324,7 @@
             draw_number(faults->details, MIN_VERSION_MS, MAX_VERSION_MS);
     }
     else if (fault->kind == FAULT_ODD_ENTRIES) {
+        fault->index = soak_operator_draining_worker(fault->index);
         soak_odd_entries_write(
             fault->index,
             draw_number(faults->details, 0, soak_odd_entries_count()));
@@ -431,7 +358,8 @@
 static void
 end_fault(struct soak_faults *faults, struct fault *fault, uint64_t now_ms)
 {
-    struct soak_proxy *proxy = fault_proxy(faults, fault);
+    struct soak_proxy *proxy =
+        soak_fault_proxy(faults->fleet, fault->kind, fault->index);
 
     soak_fault_kind_set_active(fault->kind, false);
     if (proxy != NULL) {
@@ -441,14 +369,17 @@
     case FAULT_PAUSE_GATEWAY:
     case FAULT_PAUSE_WORKER:
     case FAULT_STORE_PAUSE:
-        soak_process_signal(fault_process(faults, fault), SIGCONT);
+        soak_process_signal(
+            soak_fault_process(faults->fleet, fault->kind, fault->index),
+            SIGCONT);
         break;
     case FAULT_KILL_WORKER:
         soak_restarts_start(faults->restarts, fault->index);
         break;
     case FAULT_KILL_GATEWAY:
     case FAULT_TERM_GATEWAY:
-        soak_process_start(fault_process(faults, fault));
+        soak_process_start(
+            soak_fault_process(faults->fleet, fault->kind, fault->index));
         break;
     case FAULT_REQUEST_CRASHES:
         soak_restarts_end_crashing(faults->restarts, now_ms);
@@ -495,7 +426,8 @@
 still_runs_since_fault(const struct soak_faults *faults,
                        const struct fault *fault)
 {
-    const struct soak_process *process = fault_process(faults, fault);
+    const struct soak_process *process =
+        soak_fault_process(faults->fleet, fault->kind, fault->index);
 
     return soak_process_is_running(process) &&
            soak_process_incarnation(process) == fault->incarnation;
@@ -540,7 +472,8 @@
         soak_checker_fail("grace", "gateway-%u still runs after its grace",
                           fault->index + 1);
     }
-    soak_process_signal(fault_process(faults, fault), SIGKILL);
+    soak_process_signal(
+        soak_fault_process(faults->fleet, fault->kind, fault->index), SIGKILL);
 }
 
 /* Begins a fault, unless it is in progress. */
--- a/tests/soak/soak_operator.c
+++ b/tests/soak/soak_operator.c
@@ -412,6 +412,18 @@
     }
 }
 
+uint32_t
+soak_operator_draining_worker(uint32_t otherwise)
+{
+    for (uint32_t i = 0; i < SOAK_WORKERS; i++) {
+        if (operator.state[i] != NULL &&
+            strcmp(operator.state[i], "draining") == 0) {
+            return i;
+        }
+    }
+    return otherwise;
+}
+
 void
 soak_operator_register_again(uint32_t worker)
 {
@@ -450,10 +462,10 @@
 }
 
 static bool
-send_command(uint16_t port, const char *command)
+send_command(uint16_t port, const char *command, const char *body)
 {
     char *target = g_strdup_printf("/control/%s", command);
-    char *response = call(port, "PUT", target, "");
+    char *response = call(port, "PUT", target, body);
     bool ok = response != NULL;
 
     g_free(response);
@@ -464,13 +476,20 @@
 bool
 soak_operator_control_store(const char *command)
 {
-    return send_command(SOAK_STORE_PORT, command);
+    return send_command(SOAK_STORE_PORT, command, "");
 }
 
 bool
 soak_operator_control_worker(uint32_t worker, const char *command)
 {
-    return send_command((uint16_t)(SOAK_WORKER_PORT + worker), command);
+    return soak_operator_control_worker_with(worker, command, "");
+}
+
+bool
+soak_operator_control_worker_with(uint32_t worker, const char *command,
+                                  const char *body)
+{
+    return send_command((uint16_t)(SOAK_WORKER_PORT + worker), command, body);
 }
 
 int64_t
--- a/tests/soak/soak_operator.h
+++ b/tests/soak/soak_operator.h
@@ -38,6 +38,8 @@
 
 /* The same as it is, in place of what another writer has put there. */
 void soak_operator_register_again(uint32_t worker);
+/* A worker that has written that it drains, or the other one if none has. */
+uint32_t soak_operator_draining_worker(uint32_t otherwise);
 /* Where gateways reach the worker. Free it with g_free(). */
 char *soak_operator_worker_address(uint32_t worker);
 
@@ -79,6 +81,8 @@
    second. */
 bool soak_operator_control_store(const char *command);
 bool soak_operator_control_worker(uint32_t worker, const char *command);
+bool soak_operator_control_worker_with(uint32_t worker, const char *command,
+                                       const char *body);
 
 /* KV memory reserved at a worker, in tokens; -1 if the worker doesn't respond.
  */
