--- a/tests/soak/soak_client.c
+++ b/tests/soak/soak_client.c
@@ -213,8 +213,8 @@
 
     client->fd =
         socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    connect(client->fd, (const struct sockaddr *)&at, sizeof(at));
-    send(client->fd, call->text, strlen(call->text), MSG_NOSIGNAL);
+    (void)connect(client->fd, (const struct sockaddr *)&at, sizeof(at));
+    (void)send(client->fd, call->text, strlen(call->text), MSG_NOSIGNAL);
 }
 
 /* Reads once. Returns whether more of the response may follow. */
