--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -230,13 +230,13 @@
         "[gateway]\ninstance = gateway-%u\ndata_centre = here\n"
         "listen = %s:%u\nstatus = %s:%u\nmetrics = %s:%u\npeers = %s:%u\n"
         "seeds = %s:%u; %s:%u\nclose = 200ms\ngrace = 8s\n\n"
-        "[bounds]\nrevoke = %dms\nevacuate = %dms\n"
+        "[bounds]\nrevoke = %dms\nevacuate = %dms\nconfig_apply = %dms\n"
         "cold_overage = %d.%02d\ncold_slack = %d\n\n[platform]\n"
         "store = %s:%u\n\n"
         "[log]\noutput = stdout\n",
         n + 1, ip, SOAK_GATEWAY_PORT + n, ip, SOAK_STATUS_PORT + n, ip,
         SOAK_METRICS_PORT + n, ip, SOAK_PEER_PORT + n, ip, SOAK_PEER_PORT, ip,
-        SOAK_PEER_PORT + 1, SOAK_REVOKE_MS, SOAK_EVACUATE_MS,
+        SOAK_PEER_PORT + 1, SOAK_REVOKE_MS, SOAK_EVACUATE_MS, SOAK_APPLY_MS,
         SOAK_COLD_OVERAGE_PERCENT / 100, SOAK_COLD_OVERAGE_PERCENT % 100,
         SOAK_COLD_SLACK, ip, SOAK_STORE_PROXY_PORT + n);
 
