--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -20,7 +20,7 @@
 
 enum {
     MIN_INTERVAL_MS = 80,
-    MAX_INTERVAL_MS = 500,
+    MAX_INTERVAL_MS = 400,
     MIN_FAULT_MS = 100,
     /* A request that crashes workers, over a calm phase. */
     CRASHING_MS = 12000,
@@ -28,7 +28,6 @@
        undisturbed time that the guarantees with a time bound need. */
     MIN_STORM_MS = 3000,
     MAX_STORM_MS = 15000,
-    CALM_MS = 9000,
     /* The grace of the gateways' settings. A gateway that exits later than
        GRACE_SLACK_MS after it breaks a guarantee. */
     GRACE_MS = 8000,
@@ -43,7 +42,7 @@
     MIN_QUIET_MS = 1300,
     MAX_QUIET_MS = 2300,
     MAX_QUIET_CHANGES_MS = 400,
-    QUIET_DRAIN_MS = 12000,
+    LONG_DRAIN_MS = 12000,
     /* A gateway that is suspended or cut off from the store during a drill. */
     MAX_BESIDE_DRILL_MS = 3500,
 };
@@ -74,6 +73,9 @@
     uint64_t phase_ends_ms;
     bool is_calm;
     bool config_rests; /* no version until the end of the calm phase */
+    enum fault_kind calm_kind;
+    uint64_t calm_change_ms; /* UINT64_MAX: none is due */
+    uint64_t calm_fault_ms;  /* likewise */
     bool is_left_out[FAULT_KIND_COUNT];
     uint32_t steps;
     uint32_t count;
@@ -255,8 +257,7 @@
     start_fault(faults, FAULT_VERSIONS, 0, now_ms,
                 draw_number(details, 1, MAX_QUIET_CHANGES_MS));
     if (!is_blocked(faults, FAULT_DRAIN_WORKER, worker)) {
-        start_fault(faults, FAULT_DRAIN_WORKER, worker, now_ms,
-                    QUIET_DRAIN_MS);
+        start_fault(faults, FAULT_DRAIN_WORKER, worker, now_ms, LONG_DRAIN_MS);
     }
 }
 
@@ -585,20 +586,64 @@
     clear_fakes();
 }
 
-/* In most calm phases the store has just lost something, or told nothing of
-   it. The configuration rests then: the next version would repair what the
-   gateways have of it. */
+/* In most calm phases the store loses something, or tells nothing of it, once
+   all is known or as the last fault before. The configuration rests otherwise:
+   the next version would repair what the gateways have of it. */
+static const struct calm {
+    enum fault_kind kind; /* FAULT_KIND_COUNT: none */
+    uint32_t duration_ms;
+    uint32_t change_ms; /* from the start; 0: no change before the fault */
+    uint32_t fault_ms;  /* from the start */
+} calms[] = {
+    {FAULT_STORE_QUIET, 10000, 0, 0},
+    {FAULT_STORE_QUIET, 10000, 0, 0},
+    {FAULT_STORE_DRILL, 11000, 0, 0},
+    {FAULT_STORE_DRILL, 16000, SOAK_SETTLE_MS + 300, SOAK_SETTLE_MS + 2700},
+    {FAULT_KIND_COUNT, 9000, 0, 0},
+};
+
+/* Draws what happens in a calm phase, and ends the storm. */
 static void
 begin_calm(struct soak_faults *faults, uint64_t now_ms)
 {
-    uint32_t number = draw_number(faults->phases, 0, 5);
-    enum fault_kind kind = number < 2 ? FAULT_STORE_QUIET : FAULT_STORE_DRILL;
+    const struct calm *calm =
+        &calms[draw_number(faults->phases, 0, G_N_ELEMENTS(calms))];
 
     g_rand_set_seed(faults->details, g_rand_int(faults->phases));
+    faults->phase_ends_ms += calm->duration_ms;
     end_all(faults, true, now_ms);
-    if (number < 4 && !faults->is_left_out[kind]) {
-        start_fault(faults, kind, 0, now_ms, 0);
-        faults->config_rests = true;
+    if (calm->kind == FAULT_KIND_COUNT || faults->is_left_out[calm->kind]) {
+        return;
+    }
+    faults->config_rests = true;
+    faults->calm_kind = calm->kind;
+    faults->calm_fault_ms = now_ms + calm->fault_ms;
+    faults->calm_change_ms =
+        calm->change_ms > 0 ? now_ms + calm->change_ms : UINT64_MAX;
+}
+
+/* Changes that the store's copy will lack. */
+static void
+change_before_drill(struct soak_faults *faults, uint64_t now_ms)
+{
+    uint32_t worker = draw_number(faults->details, 0, SOAK_WORKERS);
+
+    soak_operator_replace_key();
+    if (!is_blocked(faults, FAULT_DRAIN_WORKER, worker)) {
+        start_fault(faults, FAULT_DRAIN_WORKER, worker, now_ms, LONG_DRAIN_MS);
+    }
+}
+
+static void
+tick_calm(struct soak_faults *faults, uint64_t now_ms)
+{
+    if (now_ms >= faults->calm_change_ms) {
+        faults->calm_change_ms = UINT64_MAX;
+        change_before_drill(faults, now_ms);
+    }
+    if (now_ms >= faults->calm_fault_ms) {
+        faults->calm_fault_ms = UINT64_MAX;
+        start_fault(faults, faults->calm_kind, 0, now_ms, 0);
     }
 }
 
@@ -612,14 +657,16 @@
         faults->next_ms = now_ms;
     }
     faults->is_calm = !is_first && !faults->is_calm;
-    faults->phase_ends_ms +=
-        faults->is_calm
-            ? CALM_MS
-            : draw_number(faults->phases, MIN_STORM_MS, MAX_STORM_MS);
     faults->config_rests = false;
+    faults->calm_change_ms = UINT64_MAX;
+    faults->calm_fault_ms = UINT64_MAX;
     if (faults->is_calm) {
         begin_calm(faults, now_ms);
     }
+    else {
+        faults->phase_ends_ms +=
+            draw_number(faults->phases, MIN_STORM_MS, MAX_STORM_MS);
+    }
     printf("# %lu %s\n", (unsigned long)now_ms,
            faults->is_calm ? "calm" : "storm");
 }
@@ -630,6 +677,7 @@
     if (now_ms >= faults->phase_ends_ms) {
         change_phase(faults, now_ms);
     }
+    tick_calm(faults, now_ms);
     soak_faults_end_due(faults, now_ms);
     if (now_ms >= faults->next_ms) {
         begin_random_fault(faults, now_ms);
