--- a/tests/soak/soak_drill.c
+++ b/tests/soak/soak_drill.c
@@ -8,7 +8,6 @@
 enum {
     MIN_AWAY_MS = 50,
     MAX_AWAY_MS = 900,
-    MIN_AGE_MS = 1000,
     MAX_AGE_MS = 6000,
     MAX_REWRITE_PAUSE_MS = 250, /* eight items within SOAK_DRILL_REWRITE_MS */
     MAX_ITEMS = 64,             /* exceeds the number of items */
@@ -17,6 +16,7 @@
 
 static struct {
     GRand *random;
+    uint32_t min_age_ms; /* of the copies */
     uint32_t remaining;  /* drills, with this one */
     uint64_t returns_ms; /* 0: the store is back */
     uint64_t change_ms;  /* of the operator's own change; 0: none is due */
@@ -39,12 +39,13 @@
 }
 
 void
-soak_drill_begin(uint32_t seed, uint64_t now_ms)
+soak_drill_begin(uint32_t seed, uint32_t min_age_ms, uint64_t now_ms)
 {
     if (drill.random == NULL) {
         drill.random = g_rand_new();
     }
     g_rand_set_seed(drill.random, seed);
+    drill.min_age_ms = min_age_ms;
     drill.hurried = false;
     drill.remaining = draw(1, MAX_ROW + 1);
     go_away(now_ms);
@@ -53,7 +54,7 @@
 static void
 come_back(uint64_t now_ms)
 {
-    uint32_t age_ms = draw(MIN_AGE_MS, MAX_AGE_MS);
+    uint32_t age_ms = draw(drill.min_age_ms, MAX_AGE_MS);
     bool late = draw(0, 2) == 0;
 
     if (!soak_operator_drill(age_ms) ||
--- a/tests/soak/soak_drill.h
+++ b/tests/soak/soak_drill.h
@@ -14,8 +14,9 @@
     SOAK_DRILL_REWRITE_MS = 2000,
 };
 
-/* The store is away from now on. The seed decides the rest. */
-void soak_drill_begin(uint32_t seed, uint64_t now_ms);
+/* The store is away from now on. Its copies have at least that age; the seed
+   decides the rest. */
+void soak_drill_begin(uint32_t seed, uint32_t min_age_ms, uint64_t now_ms);
 
 /* Does what is due. Returns false once the drill has ended: the store has all
    that was written. Call it every few ms, unless the store is suspended. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -45,6 +45,8 @@
     LONG_DRAIN_MS = 12000,
     /* A gateway that is suspended or cut off from the store during a drill. */
     MAX_BESIDE_DRILL_MS = 3500,
+    MIN_AGE_MS = 1000,
+    AGE_AFTER_CHANGE_MS = 3500, /* a copy that lacks a change before a drill */
 };
 
 struct fault {
@@ -76,6 +78,7 @@
     enum fault_kind calm_kind;
     uint64_t calm_change_ms; /* UINT64_MAX: none is due */
     uint64_t calm_fault_ms;  /* likewise */
+    uint32_t copy_age_ms;    /* of a drill, at least */
     bool is_left_out[FAULT_KIND_COUNT];
     uint32_t steps;
     uint32_t count;
@@ -275,7 +278,8 @@
             draw_number(faults->details, MIN_FAULT_MS, MAX_BESIDE_DRILL_MS));
     }
     fault->goes_on = true;
-    soak_drill_begin(g_rand_int(faults->details), fault->begun_ms);
+    soak_drill_begin(g_rand_int(faults->details), faults->copy_age_ms,
+                     fault->begun_ms);
 }
 
 static void
@@ -639,6 +643,7 @@
 {
     if (now_ms >= faults->calm_change_ms) {
         faults->calm_change_ms = UINT64_MAX;
+        faults->copy_age_ms = AGE_AFTER_CHANGE_MS;
         change_before_drill(faults, now_ms);
     }
     if (now_ms >= faults->calm_fault_ms) {
@@ -660,6 +665,7 @@
     faults->config_rests = false;
     faults->calm_change_ms = UINT64_MAX;
     faults->calm_fault_ms = UINT64_MAX;
+    faults->copy_age_ms = MIN_AGE_MS;
     if (faults->is_calm) {
         begin_calm(faults, now_ms);
     }
