--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -65,12 +65,12 @@
     uint32_t prompt_tokens;
 } kinds[SOAK_REQUEST_KIND_COUNT] = {
     [SOAK_REQUEST_SAFE] = {0.25, PLAIN_TIMEOUT_MS, 0, 0, 0},
-    [SOAK_REQUEST_AT_MOST_ONCE] = {0.18, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_AT_MOST_ONCE] = {0.15, PLAIN_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_SLOW] = {0.05, SLOW_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_STREAM] = {0.25, STREAM_TIMEOUT_MS, EVENTS, 0, 1000},
     [SOAK_REQUEST_LARGE] = {0.03, LARGE_TIMEOUT_MS, EVENTS, 0, 500000},
     [SOAK_REQUEST_NEW_ROUTE] = {0.15, PLAIN_TIMEOUT_MS, 0, 0, 0},
-    [SOAK_REQUEST_OLD_ROUTE] = {0.07, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_OLD_ROUTE] = {0.1, PLAIN_TIMEOUT_MS, 0, 0, 0},
     /* The stream exceeds what the kernel and the gateway may buffer for a
        caller. */
     [SOAK_REQUEST_SLOWLY_READ] = {0.02, STREAM_TIMEOUT_MS, 120, 24 * 1024,
