--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -96,14 +96,16 @@
         {"worker-repeats-refusal", SOAK_WORKERS, LONG,
          DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
          "raw?when=kept&at=before", "raw",
-         "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: earlier\r\n"
-         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+         "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+         "Content-Length: 0\r\n\r\n"},
+    /* A success whose body is an error, where a stream should go on. */
     [FAULT_WORKER_FAILS_RESUMED] =
         {"worker-fails-resumed", SOAK_WORKERS, LONG,
          DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
          "raw?when=resumed&at=before", "raw",
-         "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: @\r\n"
-         "Response-Signature: signed\r\nContent-Length: 7\r\n\r\nfailed\n"},
+         "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\n"
+         "Response-Signature: signed\r\n"
+         "Content-Type: text/event-stream\r\n\r\ndata: error\n\n"},
 };
 
 static _Atomic bool active_kinds[FAULT_KIND_COUNT];
