--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -179,8 +179,10 @@
     if (has_flag(kind, SOAK_FAULT_CONFIGURES) && faults->config_rests) {
         return true;
     }
+    /* A worker is to drain by the change before a drill. */
     if (has_flag(kind, SOAK_FAULT_TAKES_WORKER_AWAY) &&
-        is_active(faults, FAULT_REQUEST_CRASHES, 0)) {
+        (is_active(faults, FAULT_REQUEST_CRASHES, 0) ||
+         faults->calm_change_ms != UINT64_MAX)) {
         return true;
     }
     for (uint32_t i = 0; (has_flag(kind, SOAK_FAULT_TAKES_WORKER_AWAY) ||
