--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -87,27 +87,33 @@
                            SOAK_DISTURBANCE_STORE, NULL, NULL},
     [FAULT_ODD_ENTRIES] = {"odd-entries", SOAK_WORKERS, LONG, CHANGE, 0, NULL,
                            NULL},
-    [FAULT_METHODS] = {"methods", 1, LONG, NAMED, 0, NULL, NULL},
+    [FAULT_METHODS] = {"methods", 1, LONG, PLANNED, 0, NULL, NULL},
     [FAULT_SLOW_READERS] = {"slow-readers", 1, LONG, NAMED, 0, NULL, NULL},
     [FAULT_IDLE_CALLERS] = {"idle-callers", SOAK_GATEWAYS, LONG, NAMED, 0,
                             NULL, NULL},
     /* An earlier refusal once more, on a connection that it keeps. */
     [FAULT_WORKER_REPEATS] =
-        {"worker-repeats-refusal", SOAK_WORKERS, LONG,
-         DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
-         "raw?when=kept&at=before", "raw",
+        {"worker-repeats-refusal", SOAK_WORKERS, LONG, DISTURBS,
+         SOAK_DISTURBANCE_WORKER, "raw?when=kept&at=before", "raw",
          "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
          "Content-Length: 0\r\n\r\n"},
     /* A success whose body is an error, where a stream should go on. */
     [FAULT_WORKER_FAILS_RESUMED] =
-        {"worker-fails-resumed", SOAK_WORKERS, LONG,
-         DISTURBS | SOAK_FAULT_IF_NAMED, SOAK_DISTURBANCE_WORKER,
-         "raw?when=resumed&at=before", "raw",
+        {"worker-fails-resumed", SOAK_WORKERS, LONG, DISTURBS,
+         SOAK_DISTURBANCE_WORKER, "raw?when=resumed&at=before", "raw",
          "HTTP/1.1 200 OK\r\nAttempt-Id: @\r\n"
          "Response-Signature: signed\r\n"
          "Content-Type: text/event-stream\r\n\r\ndata: error\n\n"},
 };
 
+const struct soak_calm soak_calms[SOAK_CALMS] = {
+    {FAULT_STORE_QUIET, 10000, 0, 0},
+    {FAULT_STORE_QUIET, 10000, 0, 0},
+    {FAULT_STORE_DRILL, 11000, 0, 0},
+    {FAULT_STORE_DRILL, 16000, SOAK_SETTLE_MS + 300, SOAK_SETTLE_MS + 2700},
+    {FAULT_KIND_COUNT, 9000, 0, 0},
+};
+
 static _Atomic bool active_kinds[FAULT_KIND_COUNT];
 
 bool
--- a/tests/soak/soak_fault_kinds.h
+++ b/tests/soak/soak_fault_kinds.h
@@ -74,6 +74,22 @@
 
 extern const struct soak_fault_kind soak_fault_kinds[FAULT_KIND_COUNT];
 
+/* In most calm phases the store loses something, or tells nothing of it, once
+   all is known or as the last fault before. The configuration rests otherwise:
+   the next version would repair what the gateways have of it. */
+struct soak_calm {
+    enum fault_kind kind; /* FAULT_KIND_COUNT: none */
+    uint32_t duration_ms;
+    uint32_t change_ms; /* from the start; 0: no change before the fault */
+    uint32_t fault_ms;  /* from the start */
+};
+
+enum {
+    SOAK_CALMS = 5,
+};
+
+extern const struct soak_calm soak_calms[SOAK_CALMS];
+
 /* Whether callers behave in that way now. Any thread. */
 bool soak_fault_kind_is_active(enum fault_kind kind);
 void soak_fault_kind_set_active(enum fault_kind kind, bool active);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -562,7 +562,7 @@
 clear_fakes(void)
 {
     static const char *const worker_commands[] = {
-        "full?on=0", "fail?on=0", "cut?after=0", "silent?on=0"};
+        "full?on=0", "fail?on=0", "cut?after=0", "silent?on=0", "raw"};
 
     soak_operator_control_store("down?on=0");
     soak_operator_control_store("quiet?on=0");
@@ -592,28 +592,12 @@
     clear_fakes();
 }
 
-/* In most calm phases the store loses something, or tells nothing of it, once
-   all is known or as the last fault before. The configuration rests otherwise:
-   the next version would repair what the gateways have of it. */
-static const struct calm {
-    enum fault_kind kind; /* FAULT_KIND_COUNT: none */
-    uint32_t duration_ms;
-    uint32_t change_ms; /* from the start; 0: no change before the fault */
-    uint32_t fault_ms;  /* from the start */
-} calms[] = {
-    {FAULT_STORE_QUIET, 10000, 0, 0},
-    {FAULT_STORE_QUIET, 10000, 0, 0},
-    {FAULT_STORE_DRILL, 11000, 0, 0},
-    {FAULT_STORE_DRILL, 16000, SOAK_SETTLE_MS + 300, SOAK_SETTLE_MS + 2700},
-    {FAULT_KIND_COUNT, 9000, 0, 0},
-};
-
 /* Draws what happens in a calm phase, and ends the storm. */
 static void
 begin_calm(struct soak_faults *faults, uint64_t now_ms)
 {
-    const struct calm *calm =
-        &calms[draw_number(faults->phases, 0, G_N_ELEMENTS(calms))];
+    const struct soak_calm *calm =
+        &soak_calms[draw_number(faults->phases, 0, SOAK_CALMS)];
 
     g_rand_set_seed(faults->details, g_rand_int(faults->phases));
     faults->phase_ends_ms += calm->duration_ms;
