--- a/tests/soak/soak_odd_entries.c
+++ b/tests/soak/soak_odd_entries.c
@@ -142,21 +142,23 @@
 }
 
 void
-soak_odd_entries_write(uint32_t worker, uint32_t number)
+soak_odd_entries_write(uint32_t worker, uint32_t first)
 {
     char *key = g_strdup_printf("servers/worker-%u", worker + 1);
+    char *own = soak_operator_worker_address(worker);
     /* The entries say that it is a plain worker. */
-    char *address = soak_operator_worker_address(
-        MAX(worker, (uint32_t)SOAK_PLAIN_WORKERS));
+    char *other = soak_operator_worker_address(SOAK_PLAIN_WORKERS);
 
-    write_entry(key, number, address);
-    g_free(key);
     for (uint32_t i = 0; i < ENTRY_COUNT; i++) {
-        key = g_strdup_printf("servers/odd-%u", i);
-        write_entry(key, i, address);
-        g_free(key);
+        char *odd_key = g_strdup_printf("servers/odd-%u", i);
+
+        write_entry(key, (first + i) % ENTRY_COUNT, own);
+        write_entry(odd_key, i, other);
+        g_free(odd_key);
     }
-    g_free(address);
+    g_free(other);
+    g_free(own);
+    g_free(key);
 }
 
 void
--- a/tests/soak/soak_odd_entries.h
+++ b/tests/soak/soak_odd_entries.h
@@ -12,9 +12,9 @@
 uint32_t soak_odd_entries_count(void);
 
 /* Writes all of them under keys of their own, with the address of a worker of
-   another service, and one of them, by its number, under the key of the
-   worker, too. Blocks until the store has accepted them. */
-void soak_odd_entries_write(uint32_t worker, uint32_t number);
+   another service, and one after the other under the key of the worker, from
+   the first one on. Blocks until the store has accepted them. */
+void soak_odd_entries_write(uint32_t worker, uint32_t first);
 
 /* Removes those with keys of their own. */
 void soak_odd_entries_remove(void);
