--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -8,6 +8,7 @@
 #include "core/refused_items.h"
 #include "core/store_revision.h"
 #include "gateway/config_copy.h"
+#include "gateway/directory_evacuation.h"
 #include "gateway/directory_state.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/registered_gateway.h"
@@ -207,23 +208,6 @@
     return true;
 }
 
-static void
-apply_evacuation(struct directory *directory, const struct store_item *item)
-{
-    const char *data_centre = platform_store_evacuated_data_centre(item->key);
-    bool evacuated = item->bytes != NULL;
-
-    if (!endpoints_set_evacuated(directory->endpoints, data_centre, evacuated,
-                                 item->revision, directory->now_ms)) {
-        return;
-    }
-    directory->has_new_evacuations |= evacuated;
-    LOG_INFO(evacuated ? "data centre is evacuated"
-                       : "data centre is in use again",
-             "data_centre=%s revision=%s", data_centre,
-             store_revision_text(item->revision).text);
-}
-
 /* Returns false if the item is refused and an earlier one still in use. */
 static bool
 process_item(struct directory *directory, const struct store_item *item)
@@ -239,7 +223,7 @@
         directory->handlers.gateways_changed(directory->data);
         break;
     case PLATFORM_ITEM_EVACUATION:
-        apply_evacuation(directory, item);
+        directory_evacuation_apply(directory, item);
         break;
     case PLATFORM_ITEM_CRASH_REPORT:
     case PLATFORM_ITEM_SERVED_PART:
@@ -492,47 +476,6 @@
     g_hash_table_destroy(present);
 }
 
-static bool
-is_data_centre_known(const struct directory *directory,
-                     const char *data_centre)
-{
-    return endpoints_has_data_centre(directory->endpoints, data_centre) ||
-           (directory->handlers.is_gateway_data_centre != NULL &&
-            directory->handlers.is_gateway_data_centre(directory->data,
-                                                       data_centre));
-}
-
-/* Runs after a whole set of items, which may hold the endpoints too. */
-static void
-warn_of_unknown_data_centres(struct directory *directory)
-{
-    GHashTableIter iter;
-    gpointer key;
-    gpointer value;
-
-    if (!directory->has_new_evacuations) {
-        return;
-    }
-    directory->has_new_evacuations = false;
-    g_hash_table_iter_init(&iter, directory->items);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
-        struct directory_item *item = value;
-        const char *data_centre;
-
-        if (platform_store_item_type(key) != PLATFORM_ITEM_EVACUATION ||
-            item->bytes == NULL || item->looked_up) {
-            continue;
-        }
-        item->looked_up = true;
-        data_centre = platform_store_evacuated_data_centre(key);
-        if (!is_data_centre_known(directory, data_centre)) {
-            LOG_WARN("no endpoint or gateway is in the evacuated data centre",
-                     "data_centre=%s revision=%s", data_centre,
-                     store_revision_text(item->revision).text);
-        }
-    }
-}
-
 /* Notes a full list, from which on all removals are known again. The oldest
    one that is kept counts as the first, so that copies from before are sent
    whole.
@@ -612,7 +555,7 @@
     if (full) {
         remove_missing(directory, items, now_ms);
     }
-    warn_of_unknown_data_centres(directory);
+    directory_evacuation_check(directory);
     if (full) {
         note_list(directory, items->revision);
     }
--- a/tests/unit/test_directory_eras.c
+++ b/tests/unit/test_directory_eras.c
@@ -1,6 +1,7 @@
 /* Tests a gateway's copy of a store that comes back from an older copy of
    itself, in virtual time. The store was at revision 1.20 and is back at 2.12
-   at 1000 ms, without what it had acknowledged since 1.10. */
+   at 1000 ms, without what it had acknowledged since 1.10. Then what copies
+   pass on to each other, in which nothing may count that was not received. */
 
 #include <glib.h>
 #include <string.h>
@@ -11,11 +12,14 @@
 #include "gateway/config_copy.h"
 #include "gateway/directory.h"
 #include "io/store_items.h"
+#include "platform/platform_store.h"
 
 enum {
     BACK_MS = 1000,
     COMPLETE_MS = BACK_MS + 2500,
     HELD_MS = BACK_MS + 4000,
+    /* Above this age no refusal is final, whatever the settings are. */
+    STALE_CONFIG_MS = 2500,
 };
 
 struct fixture {
@@ -238,6 +242,129 @@
     destroy_fixture(&fixture);
 }
 
+/* Passes on what one gateway replies to another one, as peer_changes.c and
+   peers.c do. */
+static void
+pass_on(const struct fixture *from, struct fixture *to, uint64_t now_ms)
+{
+    uint64_t since = directory_since(from->directory,
+                                     directory_ask_revision(to->directory));
+    uint64_t age_ms = directory_shared_age_ms(from->directory, now_ms);
+    struct store_items *items =
+        directory_items_since(from->directory, since, 0);
+
+    directory_apply(to->directory, items, since == 0,
+                    now_ms - MIN(age_ms, now_ms), "peer", now_ms);
+    store_items_destroy(items);
+}
+
+static const struct row no_rows[] = {{NULL, NULL, 0}};
+
+/* A gateway that lists the store again, because the history is gone or a watch
+   had a gap, does not know of items that were added and removed in between. A
+   gateway that has seen such an item must not keep it with the first one's
+   revision: it would be used for as long as that gateway does not list the
+   store itself. */
+static void
+test_removal_between_lists(void)
+{
+    static const struct row added[] = {{"servers/w", ENTRY("ready"), 11},
+                                       {NULL, NULL, 0}};
+    struct fixture listed_again = create_fixture();
+    struct fixture other = create_fixture();
+
+    apply(&listed_again, 1, 8, true, no_rows, 100);
+    apply(&other, 1, 8, true, no_rows, 100);
+    apply(&other, 1, 11, false, added, 200);
+    g_assert_nonnull(endpoints_find(other.endpoints, "w"));
+    /* The store removes the endpoint at 13. */
+    apply(&listed_again, 1, 15, true, no_rows, 500);
+    pass_on(&listed_again, &other, 600);
+    g_assert_null(endpoints_find(other.endpoints, "w"));
+    destroy_fixture(&listed_again);
+    destroy_fixture(&other);
+}
+
+/* At the beginning of an era the store may have an older configuration. A
+   gateway that starts then and takes it from another one must not get the age
+   of what that one knew in the era before: it would answer 404 on routes that
+   were added long ago, and accept keys that were removed long ago. */
+static void
+test_age_of_an_earlier_era(void)
+{
+    static const struct row before[] = {{"op/config", "{\"version\":7}", 15},
+                                        {NULL, NULL, 0}};
+    static const struct row copy[] = {{"op/config", "{\"version\":5}", 8},
+                                      {NULL, NULL, 0}};
+    struct fixture known = create_fixture();
+    struct fixture started = create_fixture();
+
+    apply(&known, 1, 20, true, before, 10000);
+    apply(&known, 2, 12, true, copy, 11000);
+    g_assert_cmpuint(catalog_version(directory_catalog(known.directory)), ==,
+                     7);
+    pass_on(&known, &started, 11100);
+    if (directory_catalog(started.directory) == NULL ||
+        catalog_version(directory_catalog(started.directory)) < 7) {
+        g_assert_cmpuint(directory_complete_age_ms(started.directory, 11100),
+                         >, STALE_CONFIG_MS);
+    }
+    destroy_fixture(&known);
+    destroy_fixture(&started);
+}
+
+/* A registration that is not used because the store's copy may have brought it
+   back must not come into use because the store comes back once more. */
+static void
+test_held_in_the_era_before(void)
+{
+    static const struct row added[] = {{"servers/w", ENTRY("ready"), 9},
+                                       {NULL, NULL, 0}};
+    static const struct row removed[] = {{"servers/w", NULL, 10},
+                                         {NULL, NULL, 0}};
+    struct fixture fixture = create_fixture();
+
+    apply(&fixture, 1, 9, true, added, 100);
+    apply(&fixture, 1, 10, false, removed, 200);
+    apply(&fixture, 2, 9, true, added, 1000);
+    directory_tick(fixture.directory, 1900);
+    g_assert_null(endpoints_find(fixture.endpoints, "w"));
+    apply(&fixture, 3, 8, true, no_rows, 2000);
+    directory_tick(fixture.directory, 2100);
+    g_assert_null(endpoints_find(fixture.endpoints, "w"));
+    destroy_fixture(&fixture);
+}
+
+/* A gateway that starts at the beginning of an era can't know it by itself.
+   The mark of one that has seen the era before must count although the list
+   came earlier, and that of one which has noticed the era late must not. */
+static void
+test_mark_of_the_era(void)
+{
+    static const struct row config[] = {{"op/config", "{\"version\":5}", 8},
+                                        {NULL, NULL, 0}};
+    static const struct row mark[] = {{PLATFORM_ERA_KEY, "1", 13},
+                                      {NULL, NULL, 0}};
+    struct fixture started = create_fixture();
+    struct fixture running = create_fixture();
+
+    apply(&started, 2, 12, true, config, 1000);
+    g_assert_cmpuint(directory_complete_age_ms(started.directory, 1100), ==,
+                     100);
+    apply(&started, 2, 13, false, mark, 1100);
+    g_assert_cmpuint(directory_complete_age_ms(started.directory, 1100), ==,
+                     UINT64_MAX);
+    apply(&started, 2, 13, true, config, 3600);
+    g_assert_cmpuint(directory_complete_age_ms(started.directory, 3600), ==,
+                     0);
+    apply(&running, 2, 12, true, config, 1000);
+    apply(&running, 2, 13, false, mark, 60000);
+    g_assert_cmpuint(directory_complete_age_ms(running.directory, 60000), ==,
+                     0);
+    destroy_fixture(&started);
+    destroy_fixture(&running);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -246,5 +373,12 @@
     g_test_add_func("/directory-eras/age", test_age);
     g_test_add_func("/directory-eras/endpoints", test_endpoints);
     g_test_add_func("/directory-eras/other-gateways", test_other_gateways);
+    g_test_add_func("/directory-copies/removal-between-lists",
+                    test_removal_between_lists);
+    g_test_add_func("/directory-copies/age-of-an-earlier-era",
+                    test_age_of_an_earlier_era);
+    g_test_add_func("/directory-copies/held-in-the-era-before",
+                    test_held_in_the_era_before);
+    g_test_add_func("/directory-copies/mark", test_mark_of_the_era);
     return g_test_run();
 }
