--- a/tests/soak/soak_fault_kinds.c
+++ b/tests/soak/soak_fault_kinds.c
@@ -17,7 +17,6 @@
     PLANNED = SOAK_FAULT_PLANNED,
     CHANGE = STORE | PLANNED,
     CONFIGURES = CHANGE | SOAK_FAULT_CONFIGURES,
-    NAMED = PLANNED | SOAK_FAULT_IF_NAMED,
     AWAY = CHANGE | SOAK_FAULT_TAKES_WORKER_AWAY,
 };
 
@@ -88,8 +87,8 @@
     [FAULT_ODD_ENTRIES] = {"odd-entries", SOAK_WORKERS, LONG, CHANGE, 0, NULL,
                            NULL},
     [FAULT_METHODS] = {"methods", 1, LONG, PLANNED, 0, NULL, NULL},
-    [FAULT_SLOW_READERS] = {"slow-readers", 1, LONG, NAMED, 0, NULL, NULL},
-    [FAULT_IDLE_CALLERS] = {"idle-callers", SOAK_GATEWAYS, LONG, NAMED, 0,
+    [FAULT_SLOW_READERS] = {"slow-readers", 1, LONG, PLANNED, 0, NULL, NULL},
+    [FAULT_IDLE_CALLERS] = {"idle-callers", SOAK_GATEWAYS, LONG, PLANNED, 0,
                             NULL, NULL},
     /* An earlier refusal once more, on a connection that it keeps. */
     [FAULT_WORKER_REPEATS] =
--- a/tests/soak/soak_fault_kinds.h
+++ b/tests/soak/soak_fault_kinds.h
@@ -58,7 +58,6 @@
     /* The worker gets no new requests meanwhile. */
     SOAK_FAULT_TAKES_WORKER_AWAY = 8,
     SOAK_FAULT_CONFIGURES = 16, /* writes a version of the configuration */
-    SOAK_FAULT_IF_NAMED = 32,   /* only if selected by its name */
 };
 
 struct soak_fault_kind {
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -101,9 +101,6 @@
     faults->phases = g_rand_new_with_seed((guint32)seed + 1);
     faults->details = g_rand_new_with_seed(0);
     faults->active = g_ptr_array_new_with_free_func(g_free);
-    for (int i = 0; i < FAULT_KIND_COUNT; i++) {
-        faults->is_left_out[i] = has_flag(i, SOAK_FAULT_IF_NAMED);
-    }
     return faults;
 }
 
