Peers: a peer that follows the store into a new era counts as a follower

At the beginning of an era followers tell no age, so that all other gateways would take the store for unfollowed after 1.3 s and list it by themselves: 430 lists in the seconds in which its writers write again. A state with a revision of the new era and no age now counts as that of a follower while the era is new, and the copy is fetched from it, without counting as confirmed.

--- a/core/message.h
+++ b/core/message.h
@@ -110,8 +110,8 @@
     uint32_t status;   /* HTTP status of the response */
     uint64_t stamp_ms; /* of the ASK message, by its sender's clock */
     uint64_t revision; /* of the sender's copy, see core/store_revision.h */
-    /* Time since that revision was known to be the latest; UINT64_MAX: the
-       sender has no copy. */
+    /* Time since that revision was known to be the latest; UINT64_MAX: never,
+       or not in its era, which has just begun. */
     uint64_t age_ms;
     uint64_t since; /* only changes after this revision; 0: everything */
     /* Borrowed; in a decoded message it points into the frame. */
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -98,6 +98,10 @@
    store may have changed since. */
 uint64_t directory_age_ms(const struct directory *directory, uint64_t now_ms);
 
+/* Whether the store has just come back from an older copy, so that nothing
+   confirms this one yet. */
+bool directory_is_new_era(const struct directory *directory, uint64_t now_ms);
+
 /* The age to tell other gateways: UINT64_MAX at the beginning of an era, since
    this copy's confirmation is that of an earlier one. */
 uint64_t directory_shared_age_ms(const struct directory *directory,
--- a/gateway/directory_query.c
+++ b/gateway/directory_query.c
@@ -25,6 +25,12 @@
     return age_of(directory->confirmed_ms, now_ms);
 }
 
+bool
+directory_is_new_era(const struct directory *directory, uint64_t now_ms)
+{
+    return now_ms < era_change_complete_ms(&directory->era);
+}
+
 uint64_t
 directory_shared_age_ms(const struct directory *directory, uint64_t now_ms)
 {
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -257,13 +257,55 @@
     }
 }
 
+/* Asks for changes up to a revision that a peer has, unless the store's own
+   watch will bring them, or some have been asked for just now. */
 static void
-on_state(struct peer *peer, const struct message *message)
+ask_for_changes(struct peer *peer, uint64_t revision)
 {
     struct peers *peers = peer->peers;
     uint64_t now_ms = loop_now_ms(peers->loop);
 
+    note_behind(peers, revision, now_ms);
+    if ((!directory_lacks_config(peers->directory) &&
+         now_ms < peers->behind_ms + BEHIND_MS &&
+         directory_follows_store(peers->directory, loop_clock_ms(),
+                                 STORE_FRESH_MS)) ||
+        now_ms < peers->changes_asked_ms + SNAPSHOT_INTERVAL_MS) {
+        return;
+    }
+    peers->changes_asked_ms = now_ms;
+    peer_changes_ask(peer->link, peers->directory, peer->features);
+}
+
+/* A peer that follows the store into a new era tells no age until the era's
+   writers have written again. It still follows for the others, which would
+   all list the store in these seconds otherwise. */
+static void
+on_state_without_age(struct peer *peer, const struct message *message)
+{
+    struct peers *peers = peer->peers;
+    uint64_t known = directory_revision(peers->directory);
+    uint64_t told_era = store_revision_era(message->revision);
+
+    if (told_era == 0 || told_era < store_revision_era(known)) {
+        return;
+    }
+    if (told_era > store_revision_era(known) ||
+        directory_is_new_era(peers->directory, loop_clock_ms())) {
+        peers->confirmed_ms = MAX(peers->confirmed_ms, message->stamp_ms);
+    }
+    if (message->revision > known) {
+        ask_for_changes(peer, message->revision);
+    }
+}
+
+static void
+on_state(struct peer *peer, const struct message *message)
+{
+    struct peers *peers = peer->peers;
+
     if (message->age_ms == UINT64_MAX) {
+        on_state_without_age(peer, message);
         return;
     }
     if (directory_confirm(peers->directory, message->revision,
@@ -274,20 +316,10 @@
         return;
     }
     /* A copy of an earlier era has nothing that this one lacks. */
-    if (store_revision_era(message->revision) <
+    if (store_revision_era(message->revision) >=
         store_revision_era(directory_revision(peers->directory))) {
-        return;
+        ask_for_changes(peer, message->revision);
     }
-    note_behind(peers, message->revision, now_ms);
-    if ((!directory_lacks_config(peers->directory) &&
-         now_ms < peers->behind_ms + BEHIND_MS &&
-         directory_follows_store(peers->directory, loop_clock_ms(),
-                                 STORE_FRESH_MS)) ||
-        now_ms < peers->changes_asked_ms + SNAPSHOT_INTERVAL_MS) {
-        return;
-    }
-    peers->changes_asked_ms = now_ms;
-    peer_changes_ask(peer->link, peers->directory, peer->features);
 }
 
 static void
@@ -544,6 +576,9 @@
                       ? directory_shared_age_ms(directory, loop_clock_ms())
                       : UINT64_MAX};
 
+    if (!may_share(inbound)) {
+        message.revision = 0;
+    }
     link_send(inbound->link, &message);
 }
 
