Test gateway_endless: waits for the server that it has started

Failed once, in the build with the thread sanitizer beside two soaks: "bytes beyond a response: status 503, expected 200". The gateway's log has "no connection" 1 ms after the attempt, 12 ms after it knew the worker: the fake did not listen yet. The test waits for its line "ready" in a log that is appended to, so that the line of the server before was found. It is removed now; the checks are the same.

--- a/tests/faults/gateway_endless.sh
+++ b/tests/faults/gateway_endless.sh
@@ -18,6 +18,8 @@
     store_control "remove?key=servers/worker-$NUMBER"
     [ -z "${PIDS[endless]:-}" ] || kill_and_reap endless
     NUMBER=$((NUMBER + 1))
+    # The log of the server before says that it was ready, too.
+    rm -f "$WORK/endless.log"
     start endless "$BIN/tests/fake_endless" --ip "$IP" --port 7401 \
         --mode "$mode" --pause "${2:-0}"
     wait_log endless ready
