--- a/tests/faults/gateway_endless.sh
+++ b/tests/faults/gateway_endless.sh
@@ -13,16 +13,20 @@
 # start_endless MODE [PAUSE_MS]: worker-1 is replaced by a server in trouble,
 # under another id each time, since the gateway avoids one that has failed.
 NUMBER=10
+STARTS=0
+# endless_is_ready COUNT: whether so many have said so, in one log.
+endless_is_ready() {
+    [ "$(grep -c '^ready' "$WORK/endless.log")" -ge "$1" ]
+}
 start_endless() {
     local mode=$1
     store_control "remove?key=servers/worker-$NUMBER"
     [ -z "${PIDS[endless]:-}" ] || kill_and_reap endless
     NUMBER=$((NUMBER + 1))
-    # The log of the server before says that it was ready, too.
-    rm -f "$WORK/endless.log"
     start endless "$BIN/tests/fake_endless" --ip "$IP" --port 7401 \
         --mode "$mode" --pause "${2:-0}"
-    wait_log endless ready
+    STARTS=$((STARTS + 1))
+    wait_until endless_is_ready "$STARTS"
     store_control "put?key=servers/worker-$NUMBER" -d "{\"service\":\"plain\",
         \"address\":\"$IP:7401\",\"zone\":\"here\",
         \"version\":\"v1\",\"slots\":4,\"state\":\"ready\",
