--- a/agent/main.c
+++ b/agent/main.c
@@ -19,6 +19,7 @@
 #include "io/platform_watch.h"
 #include "io/process.h"
 #include "io/published_config.h"
+#include "io/version.h"
 
 #define LOG_PART "agent"
 
@@ -439,6 +440,7 @@
     case SETTINGS_RUN:
         break;
     }
+    version_log("dandelionfork-agent");
     if (!agent_init(&agent)) {
         return EXIT_FAILURE;
     }
--- a/entry/main.c
+++ b/entry/main.c
@@ -26,6 +26,7 @@
 #include "io/platform_watch.h"
 #include "io/process.h"
 #include "io/published_config.h"
+#include "io/version.h"
 #include "io/worker_pool.h"
 
 #define LOG_PART "entry"
@@ -384,6 +385,7 @@
     case SETTINGS_RUN:
         break;
     }
+    version_log("dandelionfork-entry");
     if (!set_up(&entry)) {
         return EXIT_FAILURE;
     }
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -35,6 +35,7 @@
 #include "io/store_follow.h"
 #include "io/store_items.h"
 #include "io/store_writer.h"
+#include "io/version.h"
 #include "platform/platform_http.h"
 #include "platform/platform_store.h"
 
@@ -656,6 +657,7 @@
     case SETTINGS_RUN:
         break;
     }
+    version_log("dandelionfork-gateway");
     if (!initialise(&gateway)) {
         return EXIT_FAILURE;
     }
--- a/io/settings.c
+++ b/io/settings.c
@@ -118,7 +118,7 @@
         result = SETTINGS_STOP;
     }
     else if (version->count > 0) {
-        printf("%s %s\n", program, DANDELIONFORK_VERSION);
+        version_print(program);
         result = SETTINGS_STOP;
     }
     else if (error_count > 0) {
--- a/operator/options.c
+++ b/operator/options.c
@@ -192,7 +192,7 @@
         return false;
     }
     if (argc >= 2 && strcmp(argv[1], "--version") == 0) {
-        printf("dandelionfork %s\n", DANDELIONFORK_VERSION);
+        version_print("dandelionfork");
         return false;
     }
     if (argc < 2 || !find_command(argv[1], &out->command)) {
--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -26,7 +26,7 @@
 # make_copy FOLDER
 make_copy() {
     mkdir "$1"
-    cp -r CMakeLists.txt core io entry agent operator gateway platform bench \
+    cp -r CMakeLists.txt cmake core io entry agent operator gateway platform bench \
         tests "$1"/
     cmake -S "$1" -B "$1/build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
         -DCMAKE_C_FLAGS=-Wno-error >/dev/null
--- a/tests/faults/settings.sh
+++ b/tests/faults/settings.sh
@@ -29,6 +29,18 @@
     expect_exit 0 "$BIN/$program" --version
     expect_output "$program 0.1.0"
 done
+# Guards against a log that does not tell which build wrote it: the first line
+# names the sources that this checkout has.
+cmake -P "$root/cmake/build_id.cmake" >"$WORK/build_id" 2>&1
+build_id=$(grep -o 'sources=[0-9a-f]\{16\}' "$WORK/build_id")
+for role in entry agent gateway; do
+    start "$role" "$BIN/dandelionfork-$role" \
+        --settings "$root/examples/$role.ini"
+    wait_log "$role" 'version: starts'
+    head -n 1 "$WORK/$role.log" | grep -q "version: starts .*$build_id" ||
+        fail "the first line of the $role's log does not name its build"
+    kill_and_reap "$role"
+done
 expect_exit 0 "$BIN/dandelionfork-entry" \
     --settings "$root/examples/entry.ini" --check
 expect_exit 0 "$BIN/dandelionfork-agent" \
