--- a/cmake/build_id.cmake
+++ b/cmake/build_id.cmake
@@ -1,6 +1,7 @@
 # Writes build_id.h with what the programs are built from: the commit, and a
 # digest of the sources, which also tells changes that are not committed. Run
 # with -DSOURCE_DIR=... and -DOUTPUT=...; without OUTPUT it prints both.
+cmake_minimum_required(VERSION 3.20)
 if(NOT SOURCE_DIR)
   get_filename_component(SOURCE_DIR ${CMAKE_CURRENT_LIST_DIR} DIRECTORY)
 endif()
--- a/operator/apply.c
+++ b/operator/apply.c
@@ -356,10 +356,46 @@
     return HEAD_UNKNOWN;
 }
 
+/* Processes take later generations only. If the store has come back from an
+   older copy of itself, some have a generation that it lacks, which the change
+   must not get a second time: they would not take it. Sets *latest to the
+   latest generation of the processes. Returns false if their list can't be
+   read. */
+static bool
+read_latest_generation(const struct apply *apply, uint64_t *latest)
+{
+    GError *error = NULL;
+    GPtrArray *processes =
+        fleet_status_read(apply->options, apply->store, &error);
+
+    if (processes == NULL) {
+        fprintf(stderr, "dandelionfork: %s\n", error->message);
+        g_error_free(error);
+        return false;
+    }
+    *latest = fleet_status_latest(processes);
+    g_ptr_array_unref(processes);
+    return true;
+}
+
+static void
+report_lost_generations(uint64_t stored, uint64_t latest)
+{
+    if (latest > stored) {
+        fprintf(stderr,
+                "dandelionfork: generation %" PRIu64 " was in force, and the "
+                "store had come back with generation %" PRIu64 ": changes "
+                "after that are lost and have to be applied again\n",
+                latest, stored);
+    }
+}
+
 static enum head_write
 write_change(struct apply *apply)
 {
     enum head_write written = HEAD_NOT_WRITTEN;
+    uint64_t stored = apply->head->generation;
+    uint64_t latest;
     GError *error = NULL;
     char *text;
 
@@ -375,6 +411,10 @@
         return HEAD_NOT_WRITTEN;
     }
     g_clear_error(&error);
+    if (!read_latest_generation(apply, &latest)) {
+        return HEAD_NOT_WRITTEN;
+    }
+    apply->head->generation = MAX(stored, latest);
     config_head_advance(apply->head, &apply->change, apply->merged_routes,
                         apply->merged_pools);
     text = config_head_encode(apply->head);
@@ -387,6 +427,10 @@
     else if (write_change_tables(apply, text)) {
         written = write_head(apply, text);
     }
+    if (written == HEAD_WRITTEN) {
+        /* Otherwise another operator may have written a later one. */
+        report_lost_generations(stored, latest);
+    }
     free(text);
     return written;
 }
--- a/operator/fleet_status.c
+++ b/operator/fleet_status.c
@@ -193,6 +193,19 @@
     return count;
 }
 
+uint64_t
+fleet_status_latest(const GPtrArray *processes)
+{
+    uint64_t latest = 0;
+
+    for (guint i = 0; i < processes->len; i++) {
+        const struct process_status *status = g_ptr_array_index(processes, i);
+
+        latest = MAX(latest, status->generation);
+    }
+    return latest;
+}
+
 static void
 print_json(const GPtrArray *processes, uint64_t generation)
 {
@@ -236,5 +249,10 @@
             printf("  %s %s has generation %" PRIu64 "\n", status->role,
                    status->instance, status->generation);
         }
+        else if (status->generation > generation) {
+            printf("  %s %s has generation %" PRIu64
+                   ", which the store lacks\n",
+                   status->role, status->instance, status->generation);
+        }
     }
 }
--- a/operator/fleet_status.h
+++ b/operator/fleet_status.h
@@ -32,6 +32,10 @@
 /* Counts the reached processes that have this generation or a later one. */
 uint32_t fleet_status_count(const GPtrArray *processes, uint64_t generation);
 
+/* The latest generation that a reached process has; 0: none has one. It is
+   above the store's if that has come back from an older copy of itself. */
+uint64_t fleet_status_latest(const GPtrArray *processes);
+
 /* Prints how many processes have this generation or a later one, and those
    that don't; with json, prints the status of each process. */
 void fleet_status_print(const GPtrArray *processes, uint64_t generation,
--- a/tests/fakes/fake_platform.c
+++ b/tests/fakes/fake_platform.c
@@ -4,7 +4,9 @@
    the new list, in JSON), down?on=1 (closes all connections without a
    response), slow?ms=N (delays all responses), lose?writes=N (the next N
    writes take effect, but their responses are lost), calls (returns the counts
-   of reads and writes). */
+   of reads and writes), copy (keeps a copy of all keys), restore (comes back
+   from that copy: later writes are gone, and their indices are given out
+   again). */
 
 #include <glib.h>
 #include <microhttpd.h>
@@ -30,9 +32,11 @@
 struct platform {
     pthread_mutex_t lock;
     pthread_cond_t changed;
-    GHashTable *keys; /* name to struct key */
-    char *instances;  /* list of the agents, in JSON */
-    char *entries;    /* list returned for any other service */
+    GHashTable *keys;        /* name to struct key */
+    GHashTable *copied_keys; /* NULL: no copy */
+    uint64_t copied_index;
+    char *instances; /* list of the agents, in JSON */
+    char *entries;   /* list returned for any other service */
     uint64_t instances_index;
     uint64_t index;
     bool down;
@@ -177,6 +181,52 @@
     platform->instances_index++;
 }
 
+static void
+free_key(gpointer data)
+{
+    struct key *key = data;
+
+    g_byte_array_unref(key->value);
+    g_free(key);
+}
+
+static GHashTable *
+create_keys(void)
+{
+    return g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_key);
+}
+
+static GHashTable *
+copy_keys(GHashTable *keys)
+{
+    GHashTable *copy = create_keys();
+    GHashTableIter iter;
+    gpointer name;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, keys);
+    while (g_hash_table_iter_next(&iter, &name, &value)) {
+        const struct key *key = value;
+        struct key *copied = g_new0(struct key, 1);
+
+        copied->value = g_byte_array_new();
+        g_byte_array_append(copied->value, key->value->data, key->value->len);
+        copied->index = key->index;
+        g_hash_table_insert(copy, g_strdup(name), copied);
+    }
+    return copy;
+}
+
+static void
+restore(struct platform *platform)
+{
+    if (platform->copied_keys != NULL) {
+        g_hash_table_destroy(platform->keys);
+        platform->keys = copy_keys(platform->copied_keys);
+        platform->index = platform->copied_index;
+    }
+}
+
 static void
 control(struct platform *platform, const struct fake_request *request,
         const char *command, struct fake_response *response)
@@ -196,6 +246,14 @@
     else if (strcmp(command, "lose") == 0) {
         platform->writes_to_lose = fake_query_number(request, "writes", 1);
     }
+    else if (strcmp(command, "copy") == 0) {
+        g_clear_pointer(&platform->copied_keys, g_hash_table_destroy);
+        platform->copied_keys = copy_keys(platform->keys);
+        platform->copied_index = platform->index;
+    }
+    else if (strcmp(command, "restore") == 0) {
+        restore(platform);
+    }
     else if (strcmp(command, "calls") == 0) {
         response->body = g_strdup_printf("{\"reads\":%lu,\"writes\":%lu}\n",
                                          (unsigned long)platform->reads,
@@ -258,15 +316,6 @@
     usleep((useconds_t)slow_ms * US_PER_MS);
 }
 
-static void
-free_key(gpointer data)
-{
-    struct key *key = data;
-
-    g_byte_array_unref(key->value);
-    g_free(key);
-}
-
 int
 main(int argc, char **argv)
 {
@@ -276,8 +325,7 @@
         .changed = PTHREAD_COND_INITIALIZER,
     };
 
-    platform.keys =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_key);
+    platform.keys = create_keys();
     platform.instances = g_strdup("[]");
     platform.entries = g_strdup("[]");
     platform.instances_index = 1;
