--- a/gateway/callers.c
+++ b/gateway/callers.c
@@ -503,6 +503,37 @@
     g_ptr_array_free(idle, TRUE);
 }
 
+static void
+stop_caller(struct caller *caller)
+{
+    if (caller->exchange != NULL) {
+        caller->callers->handlers.stop(caller->exchange);
+    }
+    else if (caller->state == CALLER_HEAD) {
+        reject(caller, "HTTP/1.1 503 Service Unavailable\r\n");
+    }
+    else if (is_between_requests(caller)) {
+        close_caller(caller);
+    }
+}
+
+void
+callers_stop(struct callers *callers)
+{
+    GPtrArray *open = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+
+    g_hash_table_iter_init(&iter, callers->connections);
+    while (g_hash_table_iter_next(&iter, &value, NULL)) {
+        g_ptr_array_add(open, value);
+    }
+    for (guint i = 0; i < open->len; i++) {
+        stop_caller(g_ptr_array_index(open, i));
+    }
+    g_ptr_array_free(open, TRUE);
+}
+
 uint32_t
 callers_pending(const struct callers *callers)
 {
--- a/gateway/callers.h
+++ b/gateway/callers.h
@@ -37,6 +37,8 @@
        which may still be arriving, or for what its caller does not take.
        why is a short static text. May be NULL without a budget. */
     void (*give_up)(void *exchange, const char *why);
+    /* The process ends: answers the exchange now. */
+    void (*stop)(void *exchange);
     /* Memory that the kernel holds for the exchange's other connections. May
        be NULL without a budget. */
     size_t (*kernel_bytes)(void *exchange);
@@ -82,6 +84,11 @@
    kernel has accepted and requests that have arrived are served. */
 void callers_close(struct callers *callers);
 
+/* Answers all requests now, those that have not arrived completely as not run,
+   and closes the connections once their callers have the answers. Called after
+   callers_close(). */
+void callers_stop(struct callers *callers);
+
 /* Whether no request is being read or served and no response is being sent. */
 bool callers_are_idle(const struct callers *callers);
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -11,6 +11,7 @@
 #include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "core/placement.h"
+#include "core/recent_durations.h"
 #include "core/request_digest.h"
 #include "core/stream_latency.h"
 #include "gateway/assignment.h"
@@ -18,6 +19,7 @@
 #include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
 #include "gateway/forward_admission.h"
+#include "gateway/forward_drain.h"
 #include "gateway/forward_placement.h"
 #include "gateway/forward_room.h"
 #include "gateway/forward_state.h"
@@ -515,6 +517,9 @@
         relay_give_up(forward, STATUS_GATEWAY_TIMEOUT, "time over");
         return;
     }
+    if (!forward_drain_admits(forward)) {
+        return;
+    }
     attempt_budget_record_request(find_budget(forward),
                                   forward_now_ms(forward));
     forward_dispatch(forward);
@@ -624,6 +629,19 @@
     relay_give_up(forward, STATUS_BAD_GATEWAY, why);
 }
 
+static void
+on_stop(void *exchange)
+{
+    struct forward *forward = exchange;
+
+    gateway_counters_count(COUNT_STOPPED);
+    stop_waiting(forward);
+    if (forward->upstream != NULL) {
+        forward->may_have_run = true;
+    }
+    relay_give_up(forward, STATUS_GATEWAY_TIMEOUT, "the gateway has stopped");
+}
+
 static size_t
 on_kernel_bytes(void *exchange)
 {
@@ -640,6 +658,7 @@
     .ended = on_exchange_ended,
     .all_sent = on_all_sent,
     .give_up = on_give_up,
+    .stop = on_stop,
     .kernel_bytes = on_kernel_bytes,
 };
 
@@ -656,6 +675,7 @@
                               (GDestroyNotify)attempt_budget_destroy);
     forwarder->random = g_rand_new();
     forward_room_init(forwarder);
+    forwarder->durations = recent_durations_create();
     g_queue_init(&forwarder->waiting);
     g_queue_init(&forwarder->catching_up);
     forwarder->resume_timer =
@@ -664,9 +684,10 @@
 }
 
 void
-forwarder_drain(struct forwarder *forwarder)
+forwarder_drain(struct forwarder *forwarder, uint64_t stop_ms)
 {
     forwarder->draining = true;
+    forwarder->stop_ms = stop_ms;
     forward_room_check(forwarder);
 }
 
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -70,9 +70,10 @@
 /* Resumes requests that wait for a newer state. Called every 100 ms. */
 void forwarder_tick(struct forwarder *forwarder);
 
-/* The process ends soon: prompts that wait for engines are decided at once,
-   and no others wait. */
-void forwarder_drain(struct forwarder *forwarder);
+/* The process ends soon, and callers_stop() is called at stop_ms, of
+   loop_now_ms(): prompts that wait for engines are decided at once, no others
+   wait, and requests that are not expected to end by then are refused. */
+void forwarder_drain(struct forwarder *forwarder, uint64_t stop_ms);
 
 /* Resumes waiting requests after the directory has a new configuration. */
 void forwarder_catalog_changed(struct forwarder *forwarder);
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -21,6 +21,7 @@
 
 struct caller;
 struct event_stream;
+struct recent_durations;
 struct upstream;
 struct upstream_handlers;
 
@@ -46,7 +47,9 @@
     struct room_queue *room; /* struct forward.room, waiting for engines */
     struct loop_timer *room_timer;
     GHashTable *ranks; /* service name to struct room_ranks, owned */
-    bool draining;     /* no request waits any more */
+    struct recent_durations *durations; /* by route */
+    bool draining;                      /* no request waits any more */
+    uint64_t stop_ms; /* while draining: when requests are broken off */
 };
 
 struct forward {
--- a/gateway/gateway_counters.c
+++ b/gateway/gateway_counters.c
@@ -28,6 +28,8 @@
     [COUNT_UNREAD] = "unread_total",
     [COUNT_DELAYED] = "delayed_total",
     [COUNT_REFUSED_FOR_ROOM] = "refused_for_room_total",
+    [COUNT_REFUSED_DRAINING] = "refused_draining_total",
+    [COUNT_STOPPED] = "stopped_total",
     [COUNT_REFUSED_ITEMS] = "refused_items_total",
 };
 
--- a/gateway/gateway_counters.h
+++ b/gateway/gateway_counters.h
@@ -33,6 +33,8 @@
     COUNT_UNREAD,             /* attempts that ended while unread */
     COUNT_DELAYED,            /* prompts that waited for engines */
     COUNT_REFUSED_FOR_ROOM,   /* prompts refused, engines being busy */
+    COUNT_REFUSED_DRAINING,   /* requests that would not end in the grace */
+    COUNT_STOPPED,            /* requests answered or cut at its end */
     COUNT_REFUSED_ITEMS,      /* items of the store that can't be used */
     GATEWAY_COUNTER_COUNT,
 };
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -46,8 +46,10 @@
     /* The settings file is checked for changes at this interval, since an
        operator's change need not be followed by a SIGHUP. */
     SETTINGS_CHECK_MS = 1000,
-    /* Part of the grace period that is left for the process to exit. */
-    EXIT_MARGIN_MS = 400,
+    /* Before the end of the grace period, requests in progress are answered,
+       and the process exits: what callers have not taken by then is lost. */
+    STOP_MARGIN_MS = 400,
+    EXIT_MARGIN_MS = 100,
     /* Shortest lease that the store grants. */
     MIN_REPORT_TTL_MS = 1000,
     MAX_PAUSE_MS = 50,
@@ -92,7 +94,9 @@
     bool draining;
     bool was_ready;
     bool follows_store;
-    uint64_t drain_deadline_ms; /* of a drain in progress */
+    /* Of a drain in progress. */
+    struct loop_timer *stop_timer;
+    uint64_t exit_ms;
 };
 
 static uint32_t
@@ -403,13 +407,14 @@
 begin_drain(void *data, int signal_number)
 {
     struct gateway *gateway = data;
+    uint64_t end_ms =
+        loop_now_ms(gateway->loop) + gateway->settings.gateway.grace_ms;
 
     gateway->draining = true;
-    gateway->drain_deadline_ms = loop_now_ms(gateway->loop) +
-                                 gateway->settings.gateway.grace_ms -
-                                 EXIT_MARGIN_MS;
+    gateway->exit_ms = end_ms - EXIT_MARGIN_MS;
+    loop_timer_arm(gateway->stop_timer, end_ms - STOP_MARGIN_MS);
     callers_drain(gateway->callers);
-    forwarder_drain(gateway->forwarder);
+    forwarder_drain(gateway->forwarder, end_ms - STOP_MARGIN_MS);
     store_follow_deregister(gateway->follow);
     LOG_INFO("draining", "signal=%d requests=%u connections=%u", signal_number,
              callers_pending(gateway->callers),
@@ -427,13 +432,24 @@
     callers_close(gateway->callers);
 }
 
+static void
+on_stop_timer(void *data, uint64_t now_ms)
+{
+    struct gateway *gateway = data;
+
+    (void)now_ms;
+    LOG_INFO("answers what is still in progress", "requests=%u connections=%u",
+             callers_pending(gateway->callers),
+             callers_connections(gateway->callers));
+    callers_stop(gateway->callers);
+}
+
 static bool
 is_drained(void *data, uint64_t now_ms)
 {
     const struct gateway *gateway = data;
 
-    return callers_are_idle(gateway->callers) ||
-           now_ms >= gateway->drain_deadline_ms;
+    return callers_are_idle(gateway->callers) || now_ms >= gateway->exit_ms;
 }
 
 /* Start. */
@@ -638,6 +654,8 @@
     g_free(name);
     create_crash_monitor(gateway);
     gateway->tick_timer = loop_timer_create(gateway->loop, on_tick, gateway);
+    gateway->stop_timer =
+        loop_timer_create(gateway->loop, on_stop_timer, gateway);
     loop_timer_arm(gateway->tick_timer, loop_now_ms(gateway->loop) + TICK_MS);
     return start_listeners(gateway);
 }
--- a/gateway/relay.c
+++ b/gateway/relay.c
@@ -9,6 +9,7 @@
 #include "gateway/callers.h"
 #include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
+#include "gateway/forward_drain.h"
 #include "gateway/forward_state.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/peers.h"
@@ -65,6 +66,16 @@
 
 /* Local replies. */
 
+/* A process that drains gives no time: another one can serve the request now.
+ */
+static uint32_t
+retry_after_ms(const struct forward *forward)
+{
+    return forward->forwarder->draining
+               ? forward->expected_wait_ms
+               : MAX(MIN_RETRY_AFTER_MS, forward->expected_wait_ms);
+}
+
 void
 relay_local_reply(struct forward *forward, uint32_t status, const char *why)
 {
@@ -82,9 +93,8 @@
     gateway_counters_count(counter);
     log_outcome(forward, status, not_run ? "not-run" : "own-answer", why);
     response_head_begin(head, status);
-    platform_http_write_local_reply(
-        head, forward->metadata.id,
-        not_run ? MAX(MIN_RETRY_AFTER_MS, forward->expected_wait_ms) : 0);
+    platform_http_write_local_reply(head, forward->metadata.id,
+                                    not_run ? retry_after_ms(forward) : 0);
     caller_send_response(forward->caller, &response, "", 0);
     g_byte_array_unref(head);
 }
@@ -495,6 +505,7 @@
 {
     gateway_counters_count(COUNT_ANSWERED);
     log_outcome(forward, forward->status, "ran", "");
+    forward_drain_record(forward);
     if (forward->status < STATUS_SERVER_ERROR) {
         endpoint_record_success(forward->assignment.placement.engines[0]);
     }
--- a/tests/faults/lib/gateways.sh
+++ b/tests/faults/lib/gateways.sh
@@ -2,7 +2,8 @@
 # not that of entries and agents (Consul): its store, the plain workers
 # worker-1 and worker-2, the model workers worker-3 and worker-4, and the
 # gateways gateway-1 and gateway-2. A test may set BOUNDS, lines of the
-# gateways' [bounds], GATEWAY_LINES, lines of their [gateway], and MAX_CONNS,
+# gateways' [bounds], GATEWAY_LINES, lines of their [gateway], CLOSE and GRACE,
+# settings of these, and MAX_CONNS,
 # MAX_BODY and IDLE_MS, limits of the configuration.
 . "$(dirname "${BASH_SOURCE[0]}")/fleet.sh"
 GATEWAY=http://$IP:7501
@@ -97,8 +98,8 @@
 metrics = $IP:752$1
 peers = $IP:753$1
 seeds = $IP:7531; $IP:7532
-close = 200ms
-grace = 20s
+close = ${CLOSE:-200ms}
+grace = ${GRACE:-20s}
 ${GATEWAY_LINES:-}
 
 [bounds]
