--- a/core/binding.c
+++ b/core/binding.c
@@ -714,6 +714,12 @@
     return binding->link_lost_ms + binding->settings.resume_ms;
 }
 
+void
+binding_end_by(struct binding *binding, uint64_t end_ms)
+{
+    binding->deadline_ms = MIN(binding->deadline_ms, end_ms);
+}
+
 uint64_t
 binding_next_ms(const struct binding *binding)
 {
--- a/core/binding.h
+++ b/core/binding.h
@@ -135,6 +135,9 @@
    everything, without a result. */
 void binding_abandon(struct binding *binding);
 
+/* Moves the time limit forward to that time, if it is later. */
+void binding_end_by(struct binding *binding, uint64_t end_ms);
+
 /* When binding_timeout() is to be called next, UINT64_MAX for never. */
 uint64_t binding_next_ms(const struct binding *binding);
 void binding_timeout(struct binding *binding, uint64_t now_ms);
--- a/core/drain_admission.h
+++ b/core/drain_admission.h
@@ -4,23 +4,36 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Decides whether a process that drains, that is, ends after a grace period,
-   still takes a request. What it takes and can't answer in time is broken off
-   at the end; what it refuses is sent to another process at once, as long as
-   its caller has time for that. Keeps no state. */
+/* What a process that drains, that is, ends after a grace period, still takes.
+   Requests that it takes and can't answer in time are broken off at the end of
+   the grace; those that it refuses, their callers can send to another process
+   at once. Whether a request ends in time is expected from how long the recent
+   ones of its route took. Times are in milliseconds of one clock. */
+
+struct drain_admission;
 
 struct drain_request {
     /* Until the request's time limit, at which it is answered anyway. */
     uint64_t limit_left_ms;
-    /* What the recent requests of its kind took: the longest one, and what
-       nine in ten did not exceed; UINT64_MAX: not known. */
-    uint64_t longest_ms;
-    uint64_t usual_ms;
     /* Whether its caller may send it again after it was broken off. */
     bool may_repeat;
 };
 
-/* left_ms: until requests in progress are broken off. */
-bool drain_admits(const struct drain_request *request, uint64_t left_ms);
+struct drain_admission *drain_admission_create(void);
+void drain_admission_destroy(struct drain_admission *admission);
+
+/* Records a request whose response is complete. */
+void drain_admission_record(struct drain_admission *admission,
+                            const char *route, uint64_t duration_ms);
+
+/* The process drains from now on, and breaks requests off at stop_ms. */
+void drain_admission_begin(struct drain_admission *admission,
+                           uint64_t stop_ms);
+
+/* Always true before drain_admission_begin(). */
+bool drain_admission_takes(const struct drain_admission *admission,
+                           const char *route,
+                           const struct drain_request *request,
+                           uint64_t now_ms);
 
 #endif
--- a/entry/entry_settings.c
+++ b/entry/entry_settings.c
@@ -34,6 +34,7 @@
     {"idle", INI_DURATION_MS, ENTRY(idle_ms), "60s", 1000, HOUR_MS, NULL},
     {"drain_grace", INI_DURATION_MS, ENTRY(drain_grace_ms), "2s", 0, MINUTE_MS,
      NULL},
+    {"grace", INI_DURATION_MS, ENTRY(grace_ms), "0s", 0, HOUR_MS, NULL},
     {"silence", INI_DURATION_MS, ENTRY(silence_ms), "3s", 1500, MINUTE_MS,
      NULL},
     {"quarantine", INI_DURATION_MS, ENTRY(quarantine_ms), "10min", 0, HOUR_MS,
--- a/entry/entry_settings.h
+++ b/entry/entry_settings.h
@@ -21,6 +21,9 @@
     uint64_t max_connections;
     uint64_t idle_ms;
     uint64_t drain_grace_ms;
+    /* Between the signal and the end of the process at the latest; 0: it ends
+       when nothing is in progress. */
+    uint64_t grace_ms;
     uint64_t silence_ms;
     /* How long a crash of an engine counts against a prompt's prefixes; 0: no
        prompt is refused for that. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -33,6 +33,10 @@
 
 enum {
     WORKER_THREADS = 4,
+    /* Before the end of the grace, requests in progress are answered, and the
+       process exits. */
+    STOP_MARGIN_MS = 400,
+    EXIT_MARGIN_MS = 100,
     MS_PER_S = 1000
 };
 
@@ -51,6 +55,7 @@
     struct config_links *config_links;
     struct seeds *seeds;
     bool draining;
+    uint64_t exit_ms; /* of a drain in progress; 0: when nothing is open */
 };
 
 static void
@@ -258,8 +263,15 @@
 begin_drain(void *data, int signal_number)
 {
     struct entry *entry = data;
+    uint64_t grace_ms = entry->settings.grace_ms;
+    uint64_t now_ms = loop_now_ms(entry->loop);
 
     entry->draining = true;
+    if (grace_ms > 0) {
+        entry->exit_ms = now_ms + grace_ms - MIN(EXIT_MARGIN_MS, grace_ms);
+        sessions_drain(entry->sessions,
+                       now_ms + grace_ms - MIN(STOP_MARGIN_MS, grace_ms));
+    }
     LOG_INFO("draining", "signal=%d open=%u", signal_number,
              front_open_exchanges(entry->front));
 }
@@ -279,8 +291,19 @@
 {
     const struct entry *entry = data;
 
-    (void)now_ms;
-    return front_open_exchanges(entry->front) == 0;
+    return front_open_exchanges(entry->front) == 0 ||
+           (entry->exit_ms != 0 && now_ms >= entry->exit_ms);
+}
+
+/* Time between the signal and closing the listening socket. Half of the grace
+   is left to the requests that are in progress then. */
+static uint64_t
+close_delay_ms(const struct entry *entry)
+{
+    uint64_t grace_ms = entry->settings.grace_ms;
+
+    return grace_ms > 0 ? MIN(entry->settings.drain_grace_ms, grace_ms / 2)
+                        : entry->settings.drain_grace_ms;
 }
 
 static void
@@ -351,8 +374,7 @@
 static bool
 set_up(struct entry *entry)
 {
-    const struct process_drain drain = {.grace_ms =
-                                            entry->settings.drain_grace_ms,
+    const struct process_drain drain = {.grace_ms = close_delay_ms(entry),
                                         .begin = begin_drain,
                                         .close = stop_listening,
                                         .idle = is_drained};
--- a/entry/request.c
+++ b/entry/request.c
@@ -24,6 +24,7 @@
     struct agents *agents;
     GRand *rand;
     uint64_t last_counter;
+    uint64_t end_ms;        /* of all requests; 0: only their time limits */
     GHashTable *by_id;      /* request_id to first struct request with it */
     GHashTable *registered; /* set of started requests without a result */
 };
@@ -420,15 +421,44 @@
     g_bytes_unref(spec->body);
 }
 
+/* The time limit of a request that begins now, at least 1 ms. */
+static uint32_t
+time_limit_ms(const struct requests *requests, uint32_t limit_ms)
+{
+    uint64_t now_ms = loop_now_ms(requests->loop);
+
+    if (requests->end_ms == 0) {
+        return limit_ms;
+    }
+    return (uint32_t)MIN(limit_ms, MAX(requests->end_ms, now_ms + 1) - now_ms);
+}
+
+void
+requests_end_by(struct requests *requests, uint64_t end_ms)
+{
+    GHashTableIter iter;
+    gpointer key;
+
+    requests->end_ms = end_ms;
+    g_hash_table_iter_init(&iter, requests->registered);
+    while (g_hash_table_iter_next(&iter, &key, NULL)) {
+        struct request *request = key;
+
+        binding_end_by(request->binding, end_ms);
+        arm_timer(request);
+    }
+}
+
 struct request *
 request_create(struct requests *requests, const struct request_spec *spec,
                const struct request_handlers *handlers, void *data)
 {
     struct request *request = g_new0(struct request, 1);
-    struct binding_request bound = {.time_limit_ms = spec->time_limit_ms,
-                                    .repeatable = spec->repeatable,
-                                    .streamed = spec->streamed,
-                                    .keyed = spec->keyed};
+    struct binding_request bound = {
+        .time_limit_ms = time_limit_ms(requests, spec->time_limit_ms),
+        .repeatable = spec->repeatable,
+        .streamed = spec->streamed,
+        .keyed = spec->keyed};
 
     request->requests = requests;
     request->own_id.incarnation = requests->incarnation;
--- a/entry/request.h
+++ b/entry/request.h
@@ -78,6 +78,10 @@
    separately, since agents_create() needs handlers that call this module. */
 void requests_set_agents(struct requests *requests, struct agents *agents);
 
+/* The process ends: all requests, also later ones, end by that time at the
+   latest, as by a time limit. */
+void requests_end_by(struct requests *requests, uint64_t end_ms);
+
 /* Copies handlers; data is passed to them. */
 struct request *request_create(struct requests *requests,
                                const struct request_spec *spec,
--- a/entry/session.c
+++ b/entry/session.c
@@ -6,6 +6,7 @@
 
 #include "core/claim.h"
 #include "core/config.h"
+#include "core/drain_admission.h"
 #include "core/members.h"
 #include "core/message.h"
 #include "core/prefix.h"
@@ -46,6 +47,7 @@
     struct endpoint_crashes *crashes;
     GRand *rand;
     GHashTable *retry_budgets; /* route name to struct retry_budget */
+    struct drain_admission *drain;
 };
 
 struct session {
@@ -106,9 +108,17 @@
     sessions->rand = g_rand_new();
     sessions->retry_budgets =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    sessions->drain = drain_admission_create();
     return sessions;
 }
 
+void
+sessions_drain(struct sessions *sessions, uint64_t end_ms)
+{
+    drain_admission_begin(sessions->drain, end_ms);
+    requests_end_by(sessions->requests, end_ms);
+}
+
 static struct retry_budget *
 get_retry_budget(struct sessions *sessions, const char *route)
 {
@@ -252,6 +262,9 @@
 
     session->responded = true;
     entry_counters.answered++;
+    drain_admission_record(session->sessions->drain, session->route,
+                           loop_now_ms(session->sessions->loop) -
+                               session->started_ms);
     if (session->streaming) {
         exchange_stream_end(session->exchange, true);
         return;
@@ -685,6 +698,19 @@
     return request_digest(&content);
 }
 
+/* Whether the request is expected to end before the process does. */
+static bool
+is_taken_while_draining(const struct session *session)
+{
+    const struct sessions *sessions = session->sessions;
+    const struct drain_request request = {.limit_left_ms =
+                                              time_left_ms(session),
+                                          .may_repeat = session->repeatable};
+
+    return drain_admission_takes(sessions->drain, session->route, &request,
+                                 loop_now_ms(sessions->loop));
+}
+
 static void
 route_request(struct session *session)
 {
@@ -719,6 +745,12 @@
                left_ms);
         return;
     }
+    if (!is_taken_while_draining(session)) {
+        refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE,
+               reason_name(REASON_LEAVING),
+               "this entry is stopping; another one can run the request", 0);
+        return;
+    }
     if (several_engines) {
         begin_group(session);
     }
--- a/entry/session.h
+++ b/entry/session.h
@@ -31,6 +31,10 @@
                 struct worker_pool *workers, struct claims *claims,
                 struct endpoint_crashes *crashes);
 
+/* The process ends, and all requests by end_ms at the latest: those that are
+   not expected to end by then are refused. */
+void sessions_drain(struct sessions *sessions, uint64_t end_ms);
+
 /* Handle the events of entry/front.h: a complete request has arrived; its
    exchange ends; the caller has disconnected; the connection has taken a part
    of the streamed response, up to this offset in bytes. The last three are
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -8,10 +8,10 @@
 #include "core/bytes.h"
 #include "core/call_metadata.h"
 #include "core/catalog.h"
+#include "core/drain_admission.h"
 #include "core/endpoints.h"
 #include "core/event_stream.h"
 #include "core/placement.h"
-#include "core/recent_durations.h"
 #include "core/request_digest.h"
 #include "core/stream_latency.h"
 #include "gateway/assignment.h"
@@ -675,7 +675,7 @@
                               (GDestroyNotify)attempt_budget_destroy);
     forwarder->random = g_rand_new();
     forward_room_init(forwarder);
-    forwarder->durations = recent_durations_create();
+    forwarder->drain = drain_admission_create();
     g_queue_init(&forwarder->waiting);
     g_queue_init(&forwarder->catching_up);
     forwarder->resume_timer =
@@ -687,7 +687,7 @@
 forwarder_drain(struct forwarder *forwarder, uint64_t stop_ms)
 {
     forwarder->draining = true;
-    forwarder->stop_ms = stop_ms;
+    drain_admission_begin(forwarder->drain, stop_ms);
     forward_room_check(forwarder);
 }
 
--- a/gateway/forward_state.h
+++ b/gateway/forward_state.h
@@ -20,8 +20,8 @@
    the caller. Loop thread only. Times are of loop_now_ms(). */
 
 struct caller;
+struct drain_admission;
 struct event_stream;
-struct recent_durations;
 struct upstream;
 struct upstream_handlers;
 
@@ -47,9 +47,8 @@
     struct room_queue *room; /* struct forward.room, waiting for engines */
     struct loop_timer *room_timer;
     GHashTable *ranks; /* service name to struct room_ranks, owned */
-    struct recent_durations *durations; /* by route */
-    bool draining;                      /* no request waits any more */
-    uint64_t stop_ms; /* while draining: when requests are broken off */
+    struct drain_admission *drain;
+    bool draining; /* no request waits any more */
 };
 
 struct forward {
--- a/tests/unit/test_drain_admission.c
+++ b/tests/unit/test_drain_admission.c
@@ -7,33 +7,49 @@
 #include "core/recent_durations.h"
 
 enum {
+    NOW_MS = 1000,
     LEFT_MS = 4600, /* of a grace of 8 s, 3 s after it began */
 };
 
+/* Recent requests of a route: most of them take usual_ms, a few longest_ms; 0:
+   none is known. */
 static const struct drain_case {
     const char *name;
+    uint64_t usual_ms;
+    uint64_t longest_ms;
     struct drain_request request;
-    bool admitted;
+    bool taken;
 } cases[] = {
-    {"ends at its limit", {600, 5500, 5500, false}, true},
-    {"limit at the end", {LEFT_MS, UINT64_MAX, UINT64_MAX, false}, true},
-    {"too long, at most once", {10000, 5500, 300, false}, false},
-    {"short, at most once", {10000, LEFT_MS, 300, false}, true},
-    {"not known, at most once", {10000, UINT64_MAX, UINT64_MAX, false}, false},
-    {"mostly too long", {10000, 9000, 5500, true}, false},
-    {"seldom too long", {10000, 9000, LEFT_MS, true}, true},
-    {"not known", {10000, UINT64_MAX, UINT64_MAX, true}, true},
+    {"ends at its limit", 5500, 5500, {600, false}, true},
+    {"limit at the end", 0, 0, {LEFT_MS, false}, true},
+    {"seldom too long, at most once", 300, 5500, {10000, false}, false},
+    {"never too long, at most once", 300, LEFT_MS, {10000, false}, true},
+    {"not known, at most once", 0, 0, {10000, false}, false},
+    {"mostly too long", 5500, 9000, {10000, true}, false},
+    {"seldom too long", LEFT_MS, 9000, {10000, true}, true},
+    {"not known", 0, 0, {10000, true}, true},
 };
 
 /* Guards against requests that are taken in the grace and broken off at its
    end, and against refusals of those that would have ended. */
 static void
-test_admission(void)
+test_cases(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        g_test_message("%s", cases[i].name);
-        g_assert_true(drain_admits(&cases[i].request, LEFT_MS) ==
-                      cases[i].admitted);
+        const struct drain_case *entry = &cases[i];
+        struct drain_admission *admission = drain_admission_create();
+
+        g_test_message("%s", entry->name);
+        for (int j = 0; entry->usual_ms > 0 && j < 20; j++) {
+            drain_admission_record(
+                admission, "r", j == 0 ? entry->longest_ms : entry->usual_ms);
+        }
+        g_assert_true(
+            drain_admission_takes(admission, "r", &entry->request, NOW_MS));
+        drain_admission_begin(admission, NOW_MS + LEFT_MS);
+        g_assert_true(drain_admission_takes(admission, "r", &entry->request,
+                                            NOW_MS) == entry->taken);
+        drain_admission_destroy(admission);
     }
 }
 
@@ -93,7 +109,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    g_test_add_func("/drain-admission/cases", test_admission);
+    g_test_add_func("/drain-admission/cases", test_cases);
     g_test_add_func("/drain-admission/quantiles", test_quantiles);
     g_test_add_func("/drain-admission/many-routes", test_many_routes);
     return g_test_run();
