--- a/core/endpoints.c
+++ b/core/endpoints.c
@@ -430,6 +430,12 @@
     return true;
 }
 
+bool
+endpoint_may_be_cold(const struct endpoint *endpoint, uint64_t now_ms)
+{
+    return now_ms < endpoint->cold.until_ms || endpoint->returned_ms != 0;
+}
+
 uint64_t
 endpoint_cold_until_ms(const struct endpoint *endpoint,
                        const struct catalog_service *service)
--- a/core/endpoints.h
+++ b/core/endpoints.h
@@ -151,6 +151,11 @@
 /* Number of endpoints that name a limit. */
 uint32_t endpoints_limited(const struct endpoints *endpoints);
 
+/* Whether the endpoint has said that it is cold, or may be since its data
+   centre came back from an evacuation, whatever its service's configuration
+   says. */
+bool endpoint_may_be_cold(const struct endpoint *endpoint, uint64_t now_ms);
+
 /* Until when an endpoint of the service is cold; 0: it is warm, or the service
    sets no rate for cold endpoints. The time may be past. */
 uint64_t endpoint_cold_until_ms(const struct endpoint *endpoint,
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -9,6 +9,7 @@
 #include "core/store_revision.h"
 #include "gateway/config_copy.h"
 #include "gateway/directory_evacuation.h"
+#include "gateway/directory_restored.h"
 #include "gateway/directory_state.h"
 #include "gateway/gateway_counters.h"
 #include "gateway/registered_gateway.h"
@@ -334,35 +335,6 @@
     }
 }
 
-/* Whether an item that was known in an earlier era is the same in this one. */
-static bool
-is_unchanged(const struct directory_item *known, const struct store_item *item)
-{
-    return known->bytes != NULL && known->count == item->count &&
-           !store_revision_is_same_era(known->revision, item->revision) &&
-           memcmp(known->bytes, item->bytes, item->count) == 0;
-}
-
-/* Whether a registration may be an old one that the store's copy has brought
-   back: of an endpoint that has left, or was about to, before the era began.
- */
-static bool
-must_hold(const struct directory *directory,
-          const struct directory_item *known, const struct store_item *item,
-          uint64_t now_ms)
-{
-    const struct endpoint *endpoint;
-
-    if (known == NULL ||
-        platform_store_item_type(item->key) != PLATFORM_ITEM_ENDPOINT ||
-        !era_change_is_restored(&directory->era, item->revision, now_ms)) {
-        return false;
-    }
-    endpoint = endpoints_find(directory->endpoints,
-                              platform_store_endpoint_id(item->key));
-    return known->held || endpoint == NULL || endpoint->draining;
-}
-
 static void
 hold_item(struct directory *directory, const struct store_item *item)
 {
@@ -427,10 +399,10 @@
     if (item->bytes == NULL) {
         remove_item(directory, item, now_ms);
     }
-    else if (must_hold(directory, known, item, now_ms)) {
+    else if (directory_restored_must_hold(directory, known, item, now_ms)) {
         hold_item(directory, item);
     }
-    else if (known != NULL && is_unchanged(known, item)) {
+    else if (known != NULL && directory_restored_is_unchanged(known, item)) {
         known->revision = item->revision;
         known->removal_revision = 0;
     }
--- a/tests/soak/ablate.sh
+++ b/tests/soak/ablate.sh
@@ -31,7 +31,7 @@
 run_ablation() {
     local copy
     copy=$(mktemp -d)
-    cp -r CMakeLists.txt core io entry agent operator gateway platform bench \
+    cp -r CMakeLists.txt cmake core io entry agent operator gateway platform bench \
         tests "$copy"/
     perl -0pi -e "$3" "$copy/$2"
     if cmp -s "$2" "$copy/$2"; then
--- a/tests/unit/test_directory_eras.c
+++ b/tests/unit/test_directory_eras.c
@@ -84,10 +84,11 @@
     store_items_destroy(items);
 }
 
-#define ENTRY(state)                                                          \
-    "{\"service\":\"s\",\"address\":\"127.0.0.1:80\",\"zone\":\"here\","      \
-    "\"version\":\"v1\",\"slots\":4,\"state\":\"" state "\","                 \
-    "\"cold_remaining_ms\":0,\"sequence\":1}"
+#define ENTRY_WITH(state, port, rest)                                         \
+    "{\"service\":\"s\",\"address\":\"127.0.0.1:" port                        \
+    "\",\"zone\":\"here\",\"version\":\"v1\",\"slots\":4,\"state\":\"" state  \
+    "\",\"sequence\":1," rest "}"
+#define ENTRY(state) ENTRY_WITH(state, "80", "\"cold_remaining_ms\":0")
 
 /* What was known before, at 1.20. */
 static void
@@ -210,6 +211,57 @@
     destroy_fixture(&fixture);
 }
 
+/* Guards against requests beyond what a cold endpoint bears, and to the
+   address of its last instance: the copy brings back what an endpoint had said
+   before it became cold, or started again. */
+static void
+test_cold_and_started_again(void)
+{
+    static const struct row before[] = {
+        {"servers/cold",
+         ENTRY_WITH("ready", "80", "\"cold_remaining_ms\":9000"), 18},
+        {"servers/again",
+         ENTRY_WITH("ready", "81",
+                    "\"cold_remaining_ms\":0,\"born\":1700000002000"),
+         19},
+        {NULL, NULL, 0},
+    };
+    static const struct row copy[] = {
+        {"servers/cold", ENTRY("ready"), 6},
+        {"servers/again",
+         ENTRY_WITH("ready", "80",
+                    "\"cold_remaining_ms\":0,\"born\":1700000001000"),
+         7},
+        {NULL, NULL, 0},
+    };
+    static const struct row again[] = {
+        {"servers/cold", ENTRY("ready"), 13},
+        {"servers/again",
+         ENTRY_WITH("ready", "82",
+                    "\"cold_remaining_ms\":0,\"born\":1700000003000"),
+         14},
+        {NULL, NULL, 0},
+    };
+    struct fixture fixture = create_fixture();
+    const struct endpoint *cold;
+    const struct endpoint *started;
+
+    apply(&fixture, 1, 19, true, before, 900);
+    cold = endpoints_find(fixture.endpoints, "cold");
+    started = endpoints_find(fixture.endpoints, "again");
+    g_assert_cmpuint(cold->cold.until_ms, ==, 9900);
+    apply(&fixture, 2, 12, true, copy, BACK_MS);
+    g_assert_cmpuint(cold->cold.until_ms, ==, 9900);
+    g_assert_cmpuint(started->port, ==, 81);
+
+    /* Their own entries of this era count at once. */
+    apply(&fixture, 2, 14, false, again, BACK_MS + 500);
+    g_assert_cmpuint(cold->cold.until_ms, ==, 0);
+    started = endpoints_find(fixture.endpoints, "again");
+    g_assert_cmpuint(started->port, ==, 82);
+    destroy_fixture(&fixture);
+}
+
 /* Copies of different eras must not confirm each other, whatever their numbers
    are, and changes since a revision of another era may lack items. */
 static void
@@ -372,6 +424,8 @@
     g_test_add_func("/directory-eras/configuration", test_configuration);
     g_test_add_func("/directory-eras/age", test_age);
     g_test_add_func("/directory-eras/endpoints", test_endpoints);
+    g_test_add_func("/directory-eras/cold-and-started-again",
+                    test_cold_and_started_again);
     g_test_add_func("/directory-eras/other-gateways", test_other_gateways);
     g_test_add_func("/directory-copies/removal-between-lists",
                     test_removal_between_lists);
