--- a/core/availability.c
+++ b/core/availability.c
@@ -96,12 +96,26 @@
            MAX(endpoint->avoid_until_ms, endpoint->suspected_until_ms);
 }
 
+/* Whether the limits are left to other gateways. */
+static bool
+leaves_limits(const struct availability_query *query)
+{
+    for (size_t i = 0; query->is_ending && i < query->gateway_count; i++) {
+        if (strcmp(query->gateways[i], query->own) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint32_t
 limit_sharers(const struct availability_query *query,
               const struct endpoint *endpoint)
 {
-    return endpoint_limit_sharers(endpoint->id, query->own, query->gateways,
-                                  query->gateway_count);
+    return leaves_limits(query)
+               ? 0
+               : endpoint_limit_sharers(endpoint->id, query->own,
+                                        query->gateways, query->gateway_count);
 }
 
 static uint64_t
@@ -123,8 +137,10 @@
                                      .overage = query->cold_overage,
                                      .slack = query->cold_slack};
 
-    return cold_share_of(&bound, endpoint->id, query->own, query->gateways,
-                         query->gateway_count);
+    return leaves_limits(query)
+               ? (struct cold_share){0}
+               : cold_share_of(&bound, endpoint->id, query->own,
+                               query->gateways, query->gateway_count);
 }
 
 static bool
--- a/core/availability.h
+++ b/core/availability.h
@@ -64,6 +64,9 @@
     const char *own;
     const char *const *gateways;
     size_t gateway_count;
+    /* This gateway is about to end. The others share the limits without it as
+       soon as they know, so that it takes no share any more. */
+    bool is_ending;
     /* Failing endpoints are used: set by availability_candidates(). */
     bool uses_failing;
 };
--- a/gateway/forward_placement.c
+++ b/gateway/forward_placement.c
@@ -37,7 +37,8 @@
         .cold_slack = settings->cold_slack,
         .own = peers_own_address(peers),
         .gateways = (const char *const *)gateways->pdata,
-        .gateway_count = gateways->len};
+        .gateway_count = gateways->len,
+        .is_ending = forwarder->draining};
 }
 
 static void
--- a/tests/unit/test_availability.c
+++ b/tests/unit/test_availability.c
@@ -248,6 +248,9 @@
     double slack;
     GArray *arrivals; /* uint32_t, ms */
     GRand *random;
+    /* The last name is of a gateway that is about to end: the others have a
+       list without it. */
+    bool one_ends;
 };
 
 /* The gateway sends a request if it may, which arrives a little later. */
@@ -256,13 +259,15 @@
 {
     struct endpoint *endpoint =
         endpoints_find(g_ptr_array_index(fleet->states, gateway), "a");
+    bool ends = fleet->one_ends && gateway == fleet->names->len - 1;
     const struct availability_query query = {
         .service = &fleet->service,
         .cold_overage = fleet->overage,
         .cold_slack = fleet->slack,
         .own = g_ptr_array_index(fleet->names, gateway),
         .gateways = (const char *const *)fleet->names->pdata,
-        .gateway_count = fleet->names->len};
+        .gateway_count = fleet->names->len - (fleet->one_ends ? 1 : 0),
+        .is_ending = ends};
     uint32_t arrival_ms = (uint32_t)now_ms + (uint32_t)g_rand_int_range(
                                                  fleet->random, 0, JITTER_MS);
 
@@ -313,7 +318,8 @@
 /* Every gateway sends whatever it may for six seconds, with a pause of two in
    between, so that all have saved something; gateways restart in turn. */
 static void
-check_bound(guint gateways, double per_s, double overage, double slack)
+check_bound(guint gateways, double per_s, double overage, double slack,
+            bool one_ends)
 {
     struct fleet fleet = {
         .names = g_ptr_array_new_with_free_func(g_free),
@@ -334,6 +340,7 @@
         if (now_ms > WHOLE_MS / 2 && now_ms % 20 == 0) {
             restart(&fleet, (guint)(now_ms / 20) % gateways, now_ms);
         }
+        fleet.one_ends = one_ends && now_ms > WHOLE_MS / 2;
         for (guint i = 0; i < gateways && now_ms / PAUSE_MS != 1; i++) {
             try_send(&fleet, i, now_ms);
         }
@@ -353,10 +360,23 @@
     static const guint gateways[] = {1, 4, 30, 103};
 
     for (size_t i = 0; i < G_N_ELEMENTS(gateways); i++) {
-        check_bound(gateways[i], 26.0, 1.5, 5.0);
-        check_bound(gateways[i], 26.0, 1.0, 0.0);
-        check_bound(gateways[i], 2.5, 1.0, 0.0);
-        check_bound(gateways[i], 3.0, 1.0, 40.0);
+        check_bound(gateways[i], 26.0, 1.5, 5.0, false);
+        check_bound(gateways[i], 26.0, 1.0, 0.0, false);
+        check_bound(gateways[i], 2.5, 1.0, 0.0, false);
+        check_bound(gateways[i], 3.0, 1.0, 40.0, false);
+    }
+}
+
+/* Guards against a gateway that goes on to send its share while it drains and
+   the others have shared it among themselves. */
+static void
+test_cold_bound_at_planned_stop(void)
+{
+    for (guint gateways = 2; gateways < 20; gateways++) {
+        check_bound(gateways, 26.0, 1.5, 5.0, true);
+        check_bound(gateways, 26.0, 1.0, 0.0, true);
+        check_bound(gateways, 2.5, 1.0, 0.0, true);
+        check_bound(gateways, 3.0, 1.0, 40.0, true);
     }
 }
 
@@ -369,5 +389,7 @@
     g_test_add_func("/availability/regions", test_regions);
     g_test_add_func("/availability/return", test_return);
     g_test_add_func("/availability/cold-bound", test_cold_bound);
+    g_test_add_func("/availability/cold-bound-at-planned-stop",
+                    test_cold_bound_at_planned_stop);
     return g_test_run();
 }
