--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -24,6 +24,9 @@
     STREAM_TIMEOUT_MS = 4000,
     LARGE_TIMEOUT_MS = 6000,
     TRICKLED_TIMEOUT_MS = 30000,
+    LONG_TIMEOUT_MS = 12000,
+    MIN_LONG_MS = 1000,
+    MAX_LONG_MS = 8000,
     /* 1 to 50 KB/s. */
     TRICKLED_BYTES = 2048,
     MIN_TRICKLE_PAUSE_MS = 40,
@@ -64,7 +67,7 @@
     uint32_t event_bytes;
     uint32_t prompt_tokens;
 } kinds[SOAK_REQUEST_KIND_COUNT] = {
-    [SOAK_REQUEST_SAFE] = {0.25, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_SAFE] = {0.245, PLAIN_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_AT_MOST_ONCE] = {0.15, PLAIN_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_SLOW] = {0.05, SLOW_TIMEOUT_MS, 0, 0, 0},
     [SOAK_REQUEST_STREAM] = {0.25, STREAM_TIMEOUT_MS, EVENTS, 0, 1000},
@@ -77,6 +80,7 @@
                                   1000},
     [SOAK_REQUEST_TRICKLED] = {0.0, TRICKLED_TIMEOUT_MS, 20, 3000, 1000},
     [SOAK_REQUEST_CRASHING] = {0.0, PLAIN_TIMEOUT_MS, 0, 0, 0},
+    [SOAK_REQUEST_LONG] = {0.005, LONG_TIMEOUT_MS, 0, 0, 0},
 };
 
 static struct soak_client *idle_clients[SOAK_GATEWAYS][IDLE_CONNECTIONS];
@@ -92,11 +96,16 @@
 {
     static const double crashing_share = 0.1;
     static const double trickled_share = 0.03;
+    static const double long_share = 0.1;
     double draw = g_rand_double(caller->random);
 
     if (soak_operator_crashing() != 0 && chance(caller, crashing_share)) {
         return SOAK_REQUEST_CRASHING;
     }
+    if (soak_fault_kind_is_active(FAULT_TERM_GATEWAY) &&
+        chance(caller, long_share)) {
+        return SOAK_REQUEST_LONG;
+    }
     if (soak_fault_kind_is_active(FAULT_SLOW_READERS) &&
         chance(caller, trickled_share)) {
         return SOAK_REQUEST_TRICKLED;
@@ -200,6 +209,10 @@
     apply_kind(request);
     choose_method(caller, request);
     choose_reading(caller, request);
+    if (request->kind == SOAK_REQUEST_LONG) {
+        request->work_ms = (uint32_t)g_rand_int_range(
+            caller->random, MIN_LONG_MS, MAX_LONG_MS);
+    }
     if (request->kind == SOAK_REQUEST_STREAM && chance(caller, 0.2)) {
         request->events = LONG_EVENTS;
         request->disconnect_ms = (uint64_t)g_rand_int_range(
@@ -218,6 +231,9 @@
     case SOAK_REQUEST_SLOW:
         return g_strdup_printf("/once/%s?ms=%d", request->id,
                                SLOW_RESPONSE_MS);
+    case SOAK_REQUEST_LONG:
+        return g_strdup_printf("/once/%s?ms=%u", request->id,
+                               request->work_ms);
     case SOAK_REQUEST_NEW_ROUTE:
         return g_strdup_printf("/v%u/%s", request->version, request->id);
     case SOAK_REQUEST_OLD_ROUTE:
--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -142,7 +142,8 @@
 runs_at_most_once(const struct soak_request *request)
 {
     return request->kind == SOAK_REQUEST_AT_MOST_ONCE ||
-           request->kind == SOAK_REQUEST_SLOW;
+           request->kind == SOAK_REQUEST_SLOW ||
+           request->kind == SOAK_REQUEST_LONG;
 }
 
 bool
@@ -585,6 +586,22 @@
                                      request->ended_ms);
 }
 
+/* Whether no worker has broken the request off. One that may run only once has
+   one worker, once it runs. */
+static bool
+workers_undisturbed(const struct soak_request *request)
+{
+    uint64_t from_ms = request->sent_ms - SOAK_SETTLE_MS;
+
+    if (runs_at_most_once(request) && request->runs > 0) {
+        return soak_disturbance_none_at(SOAK_DISTURBANCE_WORKER,
+                                        request->worker, from_ms,
+                                        request->ended_ms);
+    }
+    return soak_disturbance_none_anywhere(SOAK_DISTURBANCE_WORKER, from_ms,
+                                          request->ended_ms);
+}
+
 /* Checks that no response was cut off without a disturbance. A gateway's
    planned end doesn't count as one. */
 static void
@@ -599,10 +616,7 @@
              LOSS_SLACK_MS + soak_disturbance_lag_ms(request->sent_ms,
                                                      request->ended_ms)) ||
         !gateway_undisturbed(request, request->sent_ms, request->ended_ms) ||
-        outlasts_grace(request) ||
-        !soak_disturbance_none_anywhere(SOAK_DISTURBANCE_WORKER,
-                                        request->sent_ms - SOAK_SETTLE_MS,
-                                        request->ended_ms)) {
+        outlasts_grace(request) || !workers_undisturbed(request)) {
         return;
     }
     fail_request("lost", request, "cut off without a disturbance");
--- a/tests/soak/soak_checker.h
+++ b/tests/soak/soak_checker.h
@@ -53,6 +53,9 @@
     /* Event stream that is read at 1 to 50 KB/s, with a pause of seconds. */
     SOAK_REQUEST_TRICKLED,
     SOAK_REQUEST_CRASHING, /* plain, crashes the workers that run it */
+    /* Plain, may run only once, and takes seconds: longer than what is left of
+       a gateway's grace if it comes late in it. */
+    SOAK_REQUEST_LONG,
     SOAK_REQUEST_KIND_COUNT,
 };
 
@@ -72,6 +75,7 @@
     uint32_t read_pause_ms; /* these as in struct soak_call */
     uint32_t read_bytes;
     uint32_t stall_ms;
+    uint32_t work_ms; /* asked of the worker; 0: none in particular */
     uint64_t sent_ms;
     uint64_t timeout_ms;    /* duration; sent in Deadline-Ms */
     uint64_t disconnect_ms; /* duration after which the caller disconnects */
--- a/tests/soak/soak_fleet.c
+++ b/tests/soak/soak_fleet.c
@@ -229,7 +229,7 @@
     char *text = g_strdup_printf(
         "[gateway]\ninstance = gateway-%u\ndata_centre = here\n"
         "listen = %s:%u\nstatus = %s:%u\nmetrics = %s:%u\npeers = %s:%u\n"
-        "seeds = %s:%u; %s:%u\nclose = 200ms\ngrace = 8s\n\n"
+        "seeds = %s:%u; %s:%u\nclose = 2s\ngrace = 8s\n\n"
         "[bounds]\nrevoke = %dms\nevacuate = %dms\nconfig_apply = %dms\n"
         "cold_overage = %d.%02d\ncold_slack = %d\n\n[platform]\n"
         "store = %s:%u\n\n"
