--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -19,6 +19,7 @@
 #include "gateway/crash_monitor.h"
 #include "gateway/directory.h"
 #include "gateway/forward_admission.h"
+#include "gateway/forward_budget.h"
 #include "gateway/forward_drain.h"
 #include "gateway/forward_placement.h"
 #include "gateway/forward_room.h"
@@ -103,6 +104,15 @@
     g_free(forward);
 }
 
+/* Called before a request is given up, whose endpoint may be running it. */
+static void
+note_attempt_in_progress(struct forward *forward)
+{
+    if (forward->upstream != NULL) {
+        forward->may_have_run = true;
+    }
+}
+
 static void
 on_timer(void *data, uint64_t now_ms)
 {
@@ -115,34 +125,12 @@
         return;
     }
     stop_waiting(forward);
-    if (forward->upstream != NULL) {
-        forward->may_have_run = true;
-    }
+    note_attempt_in_progress(forward);
     relay_give_up(forward, STATUS_GATEWAY_TIMEOUT, "time over");
 }
 
 /* Failed attempts. */
 
-static struct attempt_budget *
-find_budget(struct forward *forward)
-{
-    struct forwarder *forwarder = forward->forwarder;
-    struct attempt_budget *budget = g_hash_table_lookup(
-        forwarder->budgets, forward->admitted.service->name);
-
-    if (budget == NULL) {
-        const struct attempt_budget_settings settings = {
-            .window_ms = forwarder->settings.budget_window_ms,
-            .ratio = forwarder->settings.budget_ratio,
-            .extra = forwarder->settings.budget_extra};
-
-        budget = attempt_budget_create(&settings);
-        g_hash_table_insert(forwarder->budgets,
-                            g_strdup(forward->admitted.service->name), budget);
-    }
-    return budget;
-}
-
 /* Whether another endpoint's response can go on within the one that the caller
    has got the beginning of. */
 static bool
@@ -371,25 +359,6 @@
         placement->holders, placement->part_tokens, &handlers, forward);
 }
 
-static bool
-take_retry_budget(struct forward *forward)
-{
-    if (forward->attempts == 0) {
-        return true;
-    }
-    if (!attempt_budget_take(find_budget(forward),
-                             peers_count(forward->forwarder->deps.peers),
-                             forward_now_ms(forward))) {
-        gateway_counters_count(COUNT_RETRY_BUDGET_EMPTY);
-        return false;
-    }
-    gateway_counters_count(COUNT_RETRIES);
-    if (forward->head_sent) {
-        gateway_counters_count(COUNT_RESUMED);
-    }
-    return true;
-}
-
 static void
 give_up_unplaced(struct forward *forward)
 {
@@ -429,7 +398,7 @@
     if (!forward_room_admits(forward, &request)) {
         return;
     }
-    if (!take_retry_budget(forward)) {
+    if (!forward_budget_take_retry(forward)) {
         relay_give_up(forward, STATUS_BAD_GATEWAY, "no budget to send again");
         return;
     }
@@ -520,8 +489,7 @@
     if (!forward_drain_admits(forward)) {
         return;
     }
-    attempt_budget_record_request(find_budget(forward),
-                                  forward_now_ms(forward));
+    forward_budget_record(forward);
     forward_dispatch(forward);
 }
 
@@ -625,6 +593,7 @@
 {
     struct forward *forward = exchange;
 
+    note_attempt_in_progress(forward);
     forward->expected_wait_ms = MEMORY_WAIT_MS;
     relay_give_up(forward, STATUS_BAD_GATEWAY, why);
 }
@@ -636,9 +605,7 @@
 
     gateway_counters_count(COUNT_STOPPED);
     stop_waiting(forward);
-    if (forward->upstream != NULL) {
-        forward->may_have_run = true;
-    }
+    note_attempt_in_progress(forward);
     relay_give_up(forward, STATUS_GATEWAY_TIMEOUT, "the gateway has stopped");
 }
 
