--- a/entry/session.c
+++ b/entry/session.c
@@ -9,8 +9,6 @@
 #include "core/drain_admission.h"
 #include "core/members.h"
 #include "core/message.h"
-#include "core/prefix.h"
-#include "core/request_digest.h"
 #include "core/retry_budget.h"
 #include "entry/claims.h"
 #include "entry/endpoint_crashes.h"
@@ -18,76 +16,16 @@
 #include "entry/error_body.h"
 #include "entry/front.h"
 #include "entry/group.h"
-#include "entry/prompt.h"
 #include "entry/request.h"
+#include "entry/session_route.h"
+#include "entry/session_state.h"
 #include "io/loop.h"
 #include "io/published_config.h"
-#include "io/worker_pool.h"
 
 enum {
-    /* Longer bodies are parsed on a worker thread, so that they don't delay
-       other requests. */
-    MAX_INLINE_PARSE_BYTES = 32 * 1024,
     MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024,
-    MAX_TIME_LIMIT_MS = 24 * 3600 * 1000,
-    MAX_KEY_BYTES = 255,
     MAX_RETRY_JITTER_MS = 600 * 1000,
-    NO_CONFIG_RETRY_AFTER_MS = 1000,
     MAX_GROUP_ATTEMPTS = 3,
-    DECIMAL = 10,
-};
-
-struct sessions {
-    struct loop *loop;
-    struct sessions_settings settings;
-    struct members *members;
-    struct requests *requests;
-    struct worker_pool *workers;
-    struct claims *claims;
-    struct endpoint_crashes *crashes;
-    GRand *rand;
-    GHashTable *retry_budgets; /* route name to struct retry_budget */
-    struct drain_admission *drain;
-};
-
-struct session {
-    struct sessions *sessions;
-    struct exchange *exchange; /* NULL: closed while calls were pending */
-    uint32_t pending_calls;    /* callbacks that are still to come */
-    bool disconnected;         /* the caller has disconnected */
-    uint64_t started_ms;
-
-    /* From the request. */
-    char *account;
-    GBytes *body;
-    struct prompt prompt;
-    const char *parse_error;
-
-    /* Set while the request is routed. */
-    enum work_class work_class;
-    bool repeatable;
-    bool streamed; /* the response is sent as it arrives */
-    char *pool;
-    char *route;
-    uint64_t prompt_tokens;
-    uint64_t affinity;
-    uint32_t time_limit_ms;
-    char *claim_key; /* in the key-value service; NULL: no claim */
-    /* Modification index of the claim of the request that this one joined. A
-       later attempt of this session replaces that claim. 0: none. */
-    uint64_t claim_index;
-    uint64_t fingerprint;
-    char *digest; /* from request_digest(); NULL: not routed yet */
-
-    struct request *request; /* NULL: not started, or waits for a group */
-    struct group *group;     /* NULL: one engine is enough */
-    uint32_t group_attempts;
-    bool responded;
-
-    uint32_t status;
-    char content_type[MESSAGE_NAME_BYTES];
-    GByteArray *response_body; /* buffered, unless streamed */
-    bool streaming;            /* the head has been sent to the caller */
 };
 
 struct sessions *
@@ -119,8 +57,8 @@
     requests_end_by(sessions->requests, end_ms);
 }
 
-static struct retry_budget *
-get_retry_budget(struct sessions *sessions, const char *route)
+struct retry_budget *
+session_retry_budget(struct sessions *sessions, const char *route)
 {
     struct retry_budget *budget =
         g_hash_table_lookup(sessions->retry_budgets, route);
@@ -149,11 +87,8 @@
     g_free(session);
 }
 
-/* Called once in each pending callback. Returns false if the caller has
-   disconnected or the exchange has ended; the session may then have been
-   freed. */
-static bool
-complete_pending_call(struct session *session)
+bool
+session_complete_call(struct session *session)
 {
     session->pending_calls--;
     if (session->exchange == NULL && session->pending_calls == 0) {
@@ -165,9 +100,9 @@
 
 /* Responses to the caller. */
 
-static void
-refuse(struct session *session, uint32_t status, const char *code,
-       const char *message, uint32_t retry_after_ms)
+void
+session_refuse(struct session *session, uint32_t status, const char *code,
+               const char *message, uint32_t retry_after_ms)
 {
     const struct error_body error = {code, message, OUTCOME_NOT_RUN,
                                      retry_after_ms};
@@ -177,11 +112,11 @@
     error_body_respond(session->exchange, status, &error);
 }
 
-static void
-refuse_bad_request(struct session *session, uint32_t status,
-                   const char *message)
+void
+session_refuse_bad_request(struct session *session, uint32_t status,
+                           const char *message)
 {
-    refuse(session, status, "bad-request", message, 0);
+    session_refuse(session, status, "bad-request", message, 0);
 }
 
 static uint32_t
@@ -276,10 +211,8 @@
                      body);
 }
 
-/* Whether the request is under quarantine, and for how long. left_ms may be
-   NULL. */
-static bool
-crashes_endpoints(const struct session *session, uint32_t *left_ms)
+bool
+session_is_quarantined(const struct session *session, uint32_t *left_ms)
 {
     const struct endpoint_crash_suspects suspects = {
         .request = session->digest,
@@ -301,9 +234,9 @@
 
     /* A prompt on several engines is not sent again by itself. Only if a hold
        fails, on_group_failed() may create the whole group anew. */
-    return session->group == NULL && !crashes_endpoints(session, NULL) &&
+    return session->group == NULL && !session_is_quarantined(session, NULL) &&
            retry_budget_spend(
-               get_retry_budget(session->sessions, session->route));
+               session_retry_budget(session->sessions, session->route));
 }
 
 static void
@@ -372,7 +305,7 @@
 
     (void)now_ms;
     g_clear_pointer(&session->group, group_destroy);
-    complete_pending_call(session);
+    session_complete_call(session);
 }
 
 /* Destroys the group from the loop, since the current call may come from one
@@ -431,7 +364,7 @@
 {
     struct session *session = data;
 
-    if (!complete_pending_call(session)) {
+    if (!session_complete_call(session)) {
         return;
     }
     switch (result->outcome) {
@@ -470,8 +403,8 @@
 
 /* Routing and the start of the request. */
 
-static uint32_t
-time_left_ms(const struct session *session)
+uint32_t
+session_time_left_ms(const struct session *session)
 {
     uint64_t spent_ms =
         loop_now_ms(session->sessions->loop) - session->started_ms;
@@ -481,12 +414,9 @@
                : 1;
 }
 
-/* With a group, node is where the prompt runs, memory_tokens its memory there
-   and parts the group's holds. parts is NULL without a group; any node of the
-   pool may then run the request. */
-static void
-start_request(struct session *session, uint32_t node, uint64_t memory_tokens,
-              const char *parts)
+void
+session_start_request(struct session *session, uint32_t node,
+                      uint64_t memory_tokens, const char *parts)
 {
     static const struct request_handlers handlers = {.may_retry = on_may_retry,
                                                      .claim = on_claim,
@@ -499,7 +429,7 @@
         .repeatable = session->repeatable,
         .streamed = session->streamed,
         .keyed = session->claim_key != NULL,
-        .time_limit_ms = time_left_ms(session),
+        .time_limit_ms = session_time_left_ms(session),
         .account = session->account,
         .pool = session->pool,
         .prompt_tokens = session->prompt_tokens,
@@ -529,12 +459,10 @@
     struct session *session = data;
 
     if (!session->responded && !session->disconnected) {
-        start_request(session, node, memory_tokens, parts);
+        session_start_request(session, node, memory_tokens, parts);
     }
 }
 
-static void begin_group(struct session *session);
-
 static void
 restart_group(void *data, uint64_t now_ms)
 {
@@ -543,9 +471,9 @@
     (void)now_ms;
     g_clear_pointer(&session->request, request_destroy);
     g_clear_pointer(&session->group, group_destroy);
-    if (complete_pending_call(session)) {
+    if (session_complete_call(session)) {
         on_restart(session);
-        begin_group(session);
+        session_begin_group(session);
     }
 }
 
@@ -575,17 +503,17 @@
     post_release_group(session);
 }
 
-static void
-begin_group(struct session *session)
+void
+session_begin_group(struct session *session)
 {
     static const struct group_handlers handlers = {on_group_ready,
                                                    on_group_failed};
     struct sessions *sessions = session->sessions;
-    const struct group_spec spec = {.account = session->account,
-                                    .need_tokens = session->prompt_tokens +
-                                                   session->prompt.max_tokens,
-                                    .time_limit_ms = time_left_ms(session),
-                                    .now_ms = loop_now_ms(sessions->loop)};
+    const struct group_spec spec = {
+        .account = session->account,
+        .need_tokens = session->prompt_tokens + session->prompt.max_tokens,
+        .time_limit_ms = session_time_left_ms(session),
+        .now_ms = loop_now_ms(sessions->loop)};
     const struct config *config = published_config_read_lock();
     const struct pool *pool = config_pool(config, session->pool);
     uint32_t size = 0;
@@ -602,284 +530,9 @@
     }
     published_config_read_unlock();
     if (size < 2) {
-        refuse(session, MHD_HTTP_CONTENT_TOO_LARGE,
-               reason_name(REASON_TOO_LARGE),
-               "the prompt needs more memory than the pool's engines have", 0);
-    }
-}
-
-static bool
-read_time_limit(struct session *session, uint64_t route_ms)
-{
-    const char *text = exchange_header(
-        session->exchange, session->sessions->settings.time_limit_header);
-    char *end;
-    uint64_t value_ms;
-
-    session->time_limit_ms = (uint32_t)route_ms;
-    if (text == NULL) {
-        return true;
-    }
-    if (!g_ascii_isdigit(text[0])) {
-        return false;
-    }
-    value_ms = g_ascii_strtoull(text, &end, DECIMAL);
-    if (*end != '\0' || value_ms == 0 || value_ms > MAX_TIME_LIMIT_MS) {
-        return false;
-    }
-    session->time_limit_ms = (uint32_t)MIN(value_ms, route_ms);
-    return true;
-}
-
-/* Copies what the session needs of its route and refills the route's retry
-   budget for this request. Returns whether the prompt needs several
-   engines. */
-static bool
-apply_route(struct session *session, const struct route *route,
-            const struct pool *pool)
-{
-    session->work_class = (enum work_class)route->work_class;
-    session->repeatable =
-        route->repeatable != 0 || session->work_class == WORK_PROMPT;
-    session->streamed =
-        session->work_class == WORK_PROMPT && session->prompt.streamed;
-    session->route = g_strdup(route->name);
-    session->pool = g_strdup(pool->name);
-    retry_budget_earn(get_retry_budget(session->sessions, route->name),
-                      route->retry_percent);
-    if (session->work_class != WORK_PROMPT) {
-        return false;
-    }
-    session->prompt_tokens =
-        prompt_tokens(&session->prompt, pool->bytes_per_token);
-    session->affinity = prefix_affinity(session->prompt.prefixes,
-                                        session->prompt.prefix_count);
-    return session->prompt_tokens + session->prompt.max_tokens >
-           pool->memory_tokens;
-}
-
-/* The key of a repeatable request is ignored, since running it twice does no
-   harm. */
-static bool
-read_idempotency_key(struct session *session)
-{
-    const char *key = exchange_header(session->exchange, "Idempotency-Key");
-    const void *body;
-    gsize bytes;
-
-    if (key == NULL || session->repeatable) {
-        return true;
-    }
-    if (key[0] == '\0' || strlen(key) > MAX_KEY_BYTES) {
-        refuse_bad_request(session, MHD_HTTP_BAD_REQUEST,
-                           "the idempotency key needs 1 to 255 bytes");
-        return false;
-    }
-    body = g_bytes_get_data(session->body, &bytes);
-    session->claim_key = claim_store_key(session->account, key);
-    session->fingerprint =
-        claim_fingerprint(exchange_method(session->exchange),
-                          exchange_target(session->exchange), body, bytes);
-    return true;
-}
-
-static char *
-compute_digest(const struct session *session)
-{
-    gsize bytes;
-    const void *body = g_bytes_get_data(session->body, &bytes);
-    const struct request_content content = {
-        .account = session->account,
-        .method = exchange_method(session->exchange),
-        .target = exchange_target(session->exchange),
-        .body = body,
-        .body_bytes = bytes};
-
-    return request_digest(&content);
-}
-
-/* Whether the request is expected to end before the process does. */
-static bool
-is_taken_while_draining(const struct session *session)
-{
-    const struct sessions *sessions = session->sessions;
-    const struct drain_request request = {.limit_left_ms =
-                                              time_left_ms(session),
-                                          .may_repeat = session->repeatable};
-
-    return drain_admission_takes(sessions->drain, session->route, &request,
-                                 loop_now_ms(sessions->loop));
-}
-
-static void
-route_request(struct session *session)
-{
-    const struct config *config = published_config_read_lock();
-    const struct route *route = config_route(
-        config, exchange_path(session->exchange), session->prompt.model);
-    bool several_engines = false;
-    uint32_t left_ms;
-
-    if (route == NULL) {
-        refuse_bad_request(session, MHD_HTTP_NOT_FOUND,
-                           "no route serves this path and model");
-    }
-    else if (!read_time_limit(session, route->time_limit_ms)) {
-        refuse_bad_request(
-            session, MHD_HTTP_BAD_REQUEST,
-            "the time limit needs a whole number of milliseconds, "
-            "1 to 86400000");
-    }
-    else {
-        several_engines =
-            apply_route(session, route, config_pool(config, route->pool));
-    }
-    published_config_read_unlock();
-    if (session->responded || !read_idempotency_key(session)) {
-        return;
-    }
-    session->digest = compute_digest(session);
-    if (crashes_endpoints(session, &left_ms)) {
-        refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE, "quarantined",
-               "this request, or prompts that begin like it, crash endpoints",
-               left_ms);
-        return;
-    }
-    if (!is_taken_while_draining(session)) {
-        refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE,
-               reason_name(REASON_LEAVING),
-               "this entry is stopping; another one can run the request", 0);
-        return;
-    }
-    if (several_engines) {
-        begin_group(session);
-    }
-    else {
-        start_request(session, 0, 0, NULL);
-    }
-}
-
-static void
-parse_prompt(struct session *session)
-{
-    gsize bytes;
-    const uint8_t *body = g_bytes_get_data(session->body, &bytes);
-
-    if (!prompt_parse(body, bytes, &session->prompt, &session->parse_error)) {
-        g_assert(session->parse_error != NULL);
-    }
-}
-
-static void
-handle_parsed_prompt(struct session *session)
-{
-    if (session->parse_error != NULL) {
-        refuse_bad_request(session, MHD_HTTP_BAD_REQUEST,
-                           session->parse_error);
-        return;
-    }
-    route_request(session);
-}
-
-static void
-on_parsed(void *data, uint64_t now_ms)
-{
-    struct session *session = data;
-
-    (void)now_ms;
-    if (complete_pending_call(session)) {
-        handle_parsed_prompt(session);
-    }
-}
-
-static void
-parse_prompt_job(void *data)
-{
-    struct session *session = data;
-
-    parse_prompt(session);
-    loop_post(session->sessions->loop, on_parsed, session);
-}
-
-static void
-begin_prompt_request(struct session *session)
-{
-    if (strcmp(exchange_method(session->exchange), "POST") != 0) {
-        refuse_bad_request(session, MHD_HTTP_METHOD_NOT_ALLOWED,
-                           "completions are asked for with POST");
-        return;
-    }
-    if (g_bytes_get_size(session->body) <= MAX_INLINE_PARSE_BYTES) {
-        parse_prompt(session);
-        handle_parsed_prompt(session);
-        return;
-    }
-    session->pending_calls++;
-    worker_pool_submit(session->sessions->workers, parse_prompt_job, session);
-}
-
-static bool
-read_account(struct session *session)
-{
-    const char *account = exchange_header(
-        session->exchange, session->sessions->settings.account_header);
-
-    if (account == NULL) {
-        account = "anonymous";
-    }
-    if (strlen(account) >= MESSAGE_NAME_BYTES) {
-        refuse_bad_request(session, MHD_HTTP_BAD_REQUEST,
-                           "the account's name is longer than 63 bytes");
-        return false;
-    }
-    session->account = g_strdup(account);
-    return true;
-}
-
-static bool
-check_headers(struct session *session)
-{
-    const char *content_type =
-        exchange_header(session->exchange, "Content-Type");
-
-    if (strlen(exchange_target(session->exchange)) >= MESSAGE_PATH_BYTES) {
-        refuse_bad_request(session, MHD_HTTP_URI_TOO_LONG,
-                           "the path is longer than 1023 bytes");
-        return false;
-    }
-    if (content_type != NULL && strlen(content_type) >= MESSAGE_NAME_BYTES) {
-        refuse_bad_request(session, MHD_HTTP_BAD_REQUEST,
-                           "the content type is longer than 63 bytes");
-        return false;
-    }
-    return read_account(session);
-}
-
-static void
-begin_request(struct session *session)
-{
-    const struct config *config = published_config_read_lock();
-    enum work_class work_class = WORK_PLAIN;
-    bool has_config = config != NULL;
-    bool has_path = has_config &&
-                    config_path_class(config, exchange_path(session->exchange),
-                                      &work_class);
-
-    published_config_read_unlock();
-    if (!has_config) {
-        refuse(session, MHD_HTTP_SERVICE_UNAVAILABLE,
-               reason_name(REASON_NO_ENDPOINT),
-               "no configuration is in force yet", NO_CONFIG_RETRY_AFTER_MS);
-    }
-    else if (!has_path) {
-        refuse_bad_request(session, MHD_HTTP_NOT_FOUND,
-                           "no route serves this path");
-    }
-    else if (work_class == WORK_PROMPT) {
-        begin_prompt_request(session);
-    }
-    else {
-        route_request(session);
+        session_refuse(
+            session, MHD_HTTP_CONTENT_TOO_LARGE, reason_name(REASON_TOO_LARGE),
+            "the prompt needs more memory than the pool's engines have", 0);
     }
 }
 
@@ -895,8 +548,8 @@
     session->body = exchange_take_body(exchange);
     exchange_set_owner(exchange, session);
     entry_counters.requests++;
-    if (check_headers(session)) {
-        begin_request(session);
+    if (session_route_check_headers(session)) {
+        session_route_begin(session);
     }
 }
 
