--- a/tests/soak/soak_checker.c
+++ b/tests/soak/soak_checker.c
@@ -586,14 +586,14 @@
                                      request->ended_ms);
 }
 
-/* Whether no worker has broken the request off. One that may run only once has
-   one worker, once it runs. */
+/* Whether no worker has broken the request off. One that ran once depends on
+   that worker alone, unless it has helpers. */
 static bool
 workers_undisturbed(const struct soak_request *request)
 {
     uint64_t from_ms = request->sent_ms - SOAK_SETTLE_MS;
 
-    if (runs_at_most_once(request) && request->runs > 0) {
+    if (request->runs == 1 && request->kind != SOAK_REQUEST_LARGE) {
         return soak_disturbance_none_at(SOAK_DISTURBANCE_WORKER,
                                         request->worker, from_ms,
                                         request->ended_ms);
