--- a/core/recent_durations.c
+++ b/core/recent_durations.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum {
