--- a/tests/faults/lib/gateways.sh
+++ b/tests/faults/lib/gateways.sh
@@ -3,8 +3,8 @@
 # worker-1 and worker-2, the model workers worker-3 and worker-4, and the
 # gateways gateway-1 and gateway-2. A test may set BOUNDS, lines of the
 # gateways' [bounds], GATEWAY_LINES, lines of their [gateway], CLOSE and GRACE,
-# settings of these, and MAX_CONNS,
-# MAX_BODY and IDLE_MS, limits of the configuration.
+# settings there, and MAX_CONNS, MAX_BODY and IDLE_MS, limits of the
+# configuration.
 . "$(dirname "${BASH_SOURCE[0]}")/fleet.sh"
 GATEWAY=http://$IP:7501
 GATEWAY2=http://$IP:7502
