Responses: a status that is none fails the attempt

Callers saw: a worker's response with the status 000 was relayed as a response ("HTTP/1.1 0 Status", with the worker's headers and body).

Cause: http-parser takes any number up to 999 for a status, and nothing of ours checked it. 101 was taken for an informational response, although no other protocol is ever asked for. The client side of io/http_connection is the one place where responses are read, by the gateway and, in io/http_call, by the agent, the operator and the clients of the stores.

Change: a status that is not from 100 to 599 (RFC 9110, section 15), or 101, is a bad message. The attempt fails as one that may have run: the caller gets 502, or a request that may be repeated goes to another endpoint.

Evidence: test_broken_answers (client of the gateway: head=1 status=0 complete=1) and faults_gateway_broken_answers (status 000: curl refused what it got, in place of 502) failed before, and pass now, with valid statuses, informational responses and the tests of framing and of endless responses.

--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -30,6 +30,10 @@
     /* Informational responses (1xx) before the final one. */
     MAX_INFORMATIONAL = 16,
     MAX_HEADERS = 512,
+    /* RFC 9110, section 15. */
+    MIN_STATUS = 100,
+    MAX_STATUS = 599,
+    STATUS_SWITCHING_PROTOCOLS = 101,
 };
 
 struct http_connection {
@@ -242,6 +246,17 @@
            head_reader_count(conn->head) > MAX_HEADERS;
 }
 
+/* The parser takes any number up to 999. Another protocol is never asked for.
+ */
+static bool
+has_valid_status(const struct http_connection *conn)
+{
+    unsigned int status = conn->parser.status_code;
+
+    return status >= MIN_STATUS && status <= MAX_STATUS &&
+           status != STATUS_SWITCHING_PROTOCOLS;
+}
+
 static bool
 is_informational(const struct http_connection *conn)
 {
@@ -263,6 +278,10 @@
     struct http_head head = {0};
 
     conn->in_head = false;
+    if (!conn->server && !has_valid_status(conn)) {
+        report_end(conn, HTTP_CONNECTION_BAD_MESSAGE);
+        return -1;
+    }
     if (is_informational(conn)) {
         conn->informational++;
         if (conn->informational <= MAX_INFORMATIONAL) {
--- /dev/null
+++ b/tests/faults/gateway_broken_answers.sh
@@ -0,0 +1,49 @@
+# Workers that send bytes which are no valid response: callers got them as a
+# response, or with a body that was not the worker's.
+. "$(dirname "$0")/lib/gateways.sh"
+start_deployment
+nl=$'\r\n'
+signed="Attempt-Id: @${nl}Response-Signature: signed$nl"
+
+# answer_with BYTES: what all workers answer to requests with Last-Event-Id,
+# before they close.
+answer_with() {
+    local n
+    for n in 1 2 3 4; do
+        fetch -o /dev/null --data-binary "$1" \
+            "http://$IP:740$n/control/raw?when=resumed"
+    done
+}
+
+# ask PATH: prints the status that the caller gets.
+ask() {
+    call "$GATEWAY" "$1" -H 'Credential: key-1' -H 'Last-Event-Id: 1' \
+        -H 'Token-Usage: 1000,40' -d body || echo broken
+}
+
+# expect_failure WHAT BYTES: callers get a failure of the gateway's own, by
+# each kind of route.
+expect_failure() {
+    local path
+    answer_with "$2"
+    for path in /once/x /plain/x /stream/x; do
+        expect "$1, $path" "$(ask "$path")" 502
+        ! grep -qi 'response-signature' "$WORK/call.head" ||
+            fail "$1, $path: $(cat "$WORK/call.head")"
+    done
+}
+
+# expect_success WHAT BYTES: callers get the worker's response.
+expect_success() {
+    answer_with "$2"
+    expect "$1" "$(ask /once/x)" 200
+    expect "body, $1" "$(cat "$WORK/body")" abc
+}
+
+body="Content-Length: 3$nl${nl}abc"
+for status in 000 007 099 101 600 999; do
+    expect_failure "status $status" "HTTP/1.1 $status S$nl$signed$body"
+done
+expect_success "a valid response" "HTTP/1.1 200 OK$nl$signed$body"
+expect "starts of the gateway" \
+    "$(grep -c 'gateway: started' "$WORK/gateway-1.log")" 1
--- /dev/null
+++ b/tests/unit/test_broken_answers.c
@@ -0,0 +1,102 @@
+/* Guards against bytes that are no valid response and reach callers as one:
+   what the gateway's and the agent's client make of responses that break the
+   protocol, and of unusual ones that keep it. */
+
+#include <glib.h>
+#include <string.h>
+
+#include "tests/raw_answer.h"
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define THREE "Content-Length: 3\r\n\r\nabc"
+
+typedef void (*ask_function)(const struct raw_answer *answer,
+                             struct raw_answer_outcome *outcome);
+
+static const ask_function clients[] = {raw_answer_by_gateway,
+                                       raw_answer_by_agent};
+
+static void
+ask_for(ask_function ask, const char *bytes,
+        struct raw_answer_outcome *outcome)
+{
+    const struct raw_answer answer = {.bytes = bytes, .count = strlen(bytes)};
+
+    ask(&answer, outcome);
+}
+
+/* Whole responses to a request without a body. */
+
+static void
+check_valid(const char *bytes, uint32_t status, const char *body)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        struct raw_answer_outcome outcome;
+
+        ask_for(clients[i], bytes, &outcome);
+        if (!outcome.complete || outcome.status != status ||
+            strcmp(outcome.body, body) != 0) {
+            g_error("client %zu: complete=%d status=%u body=%s of %s", i,
+                    outcome.complete, outcome.status, outcome.body, bytes);
+        }
+    }
+}
+
+/* Fails before its head is reported. */
+static void
+check_no_head(const char *bytes)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(clients); i++) {
+        struct raw_answer_outcome outcome;
+
+        ask_for(clients[i], bytes, &outcome);
+        if (outcome.has_head || outcome.complete || !outcome.maybe_run) {
+            g_error("client %zu: head=%d status=%u complete=%d of %s", i,
+                    outcome.has_head, outcome.status, outcome.complete, bytes);
+        }
+    }
+}
+
+static void
+check_status(uint32_t status, bool is_valid)
+{
+    char *bytes = g_strdup_printf("HTTP/1.1 %03u Status\r\n" THREE, status);
+
+    if (is_valid) {
+        check_valid(bytes, status, "abc");
+    }
+    else {
+        check_no_head(bytes);
+    }
+    g_free(bytes);
+}
+
+/* Guards against callers that get a status that is none. */
+static void
+test_status(void)
+{
+    static const uint32_t valid[] = {200, 201, 206, 299, 300, 302, 399, 400,
+                                     404, 421, 499, 500, 503, 504, 599};
+    static const uint32_t invalid[] = {0,   1,   7,   20,  99, 101,
+                                       600, 601, 700, 850, 999};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(valid); i++) {
+        check_status(valid[i], true);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        check_status(invalid[i], false);
+    }
+    check_valid("HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" OK THREE,
+                200, "abc");
+    /* No other protocol was asked for. */
+    check_no_head("HTTP/1.1 101 Switching Protocols\r\n\r\n" OK THREE);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/broken-answers/status", test_status);
+    return g_test_run();
+}
