Responses: a reset that a write has noticed is not the end of a response

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was being written; the caller got that part as a complete response.

Cause: the system reports the error of a connection once, to the call that meets it first. While a request is being written that is the write; the read after it reports the end of the connection, and the end of the connection ends a response without a length. The failure that the write had noticed was reported later, from a timer.

Ruled out: the same without an upload (the read gets the error), and with a length or chunks (the parser knows the end): test_cut_heads, gateway_framing. Frames between entries, agents and gateways carry their lengths.

Change: send_queue_write() tells whether the peer's end had come before the connection failed (EPIPE) or not, and after the latter the end of a connection counts as a reset. A response whose end had come first is complete, as before.

--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -49,6 +49,7 @@
     bool flush_due; /* flush() is deferred until the present handler returns */
     bool awaiting_next; /* message complete; http_connection_next() is due */
     bool head_only;
+    bool broken;    /* a write has failed before the peer's end came */
     bool has_extra; /* client: bytes have arrived beyond a response */
     bool in_head;
     uint32_t epoll_events;
@@ -402,6 +403,10 @@
 static void
 handle_peer_close(struct http_connection *conn)
 {
+    if (conn->broken) {
+        report_end(conn, HTTP_CONNECTION_RESET);
+        return;
+    }
     if (!conn->awaiting_next && !conn->server) {
         /* The end of the connection ends a response without a length. */
         parse(conn, (const uint8_t *)"", 0);
@@ -444,8 +449,11 @@
 send_queued(struct http_connection *conn)
 {
     size_t sent;
+    enum send_queue_result result =
+        send_queue_write(conn->out, conn->fd, &sent);
 
-    if (!send_queue_write(conn->out, conn->fd, &sent)) {
+    if (result != SEND_QUEUE_OK) {
+        conn->broken |= result == SEND_QUEUE_BROKEN;
         /* Reported later, not from within a call of the owner. */
         loop_timer_arm(conn->deferred_timer, loop_now_ms(conn->loop));
     }
--- a/io/link.c
+++ b/io/link.c
@@ -204,7 +204,8 @@
     }
     for (;;) {
         size_t sent;
-        bool ok = send_queue_write(link->out, link->fd, &sent);
+        bool ok =
+            send_queue_write(link->out, link->fd, &sent) == SEND_QUEUE_OK;
 
         queued_bytes -= sent;
         if (!ok) {
--- a/io/send_queue.c
+++ b/io/send_queue.c
@@ -143,17 +143,32 @@
     return sendmsg(fd, &message, MSG_NOSIGNAL);
 }
 
-bool
+/* The system reports EPIPE if the peer's end has come before its reset. */
+static enum send_queue_result
+result_of_error(int error)
+{
+    switch (error) {
+    case EAGAIN:
+    case EINTR:
+        return SEND_QUEUE_OK;
+    case EPIPE:
+        return SEND_QUEUE_PEER_ENDED;
+    default:
+        return SEND_QUEUE_BROKEN;
+    }
+}
+
+enum send_queue_result
 send_queue_write(struct send_queue *queue, int fd, size_t *sent)
 {
-    bool ok = true;
+    enum send_queue_result result = SEND_QUEUE_OK;
 
     *sent = 0;
     while (send_queue_length(queue) > 0) {
         ssize_t count = write_once(queue, fd);
 
         if (count < 0) {
-            ok = errno == EAGAIN || errno == EINTR;
+            result = result_of_error(errno);
             break;
         }
         *sent += (size_t)count;
@@ -161,5 +176,5 @@
     }
     release_memory(queue);
     queue->taken_bytes += *sent;
-    return ok;
+    return result;
 }
--- a/io/send_queue.h
+++ b/io/send_queue.h
@@ -11,6 +11,13 @@
 struct send_queue;
 struct _GByteArray;
 
+enum send_queue_result {
+    SEND_QUEUE_OK,
+    /* The connection has failed after the peer's end was received. */
+    SEND_QUEUE_PEER_ENDED,
+    SEND_QUEUE_BROKEN, /* failed before that */
+};
+
 struct send_queue *send_queue_create(void);
 void send_queue_destroy(struct send_queue *queue);
 
@@ -36,7 +43,9 @@
 uint64_t send_queue_taken_bytes(const struct send_queue *queue);
 
 /* Gives the socket as much as it takes. Sets *sent to the number of bytes that
-   it took. Returns false if the connection has failed. */
-bool send_queue_write(struct send_queue *queue, int fd, size_t *sent);
+   it took. The call takes the error of a failed connection: a read after it
+   reports no more than the end. */
+enum send_queue_result send_queue_write(struct send_queue *queue, int fd,
+                                        size_t *sent);
 
 #endif
--- a/tests/fakes/fake_endless.c
+++ b/tests/fakes/fake_endless.c
@@ -1,8 +1,8 @@
 /* Fake of a server in trouble: for each request it sends the beginning of a
-   response and then bytes without end, until the caller closes. --mode N
-   selects what they are (see modes), --pause N sends them byte by byte with so
-   many milliseconds between. It serves one connection at a time, and prints
-   the mode of each response that the caller has ended. */
+   response and then bytes without end, until the caller closes, or resets the
+   connection. --mode N selects what they are (see modes), --pause N sends them
+   byte by byte with so many milliseconds between. It serves one connection at
+   a time, and prints the mode of each response that the caller has ended. */
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -26,9 +26,12 @@
     BACKLOG = 64,
     US_PER_MS = 1000,
     ID_BYTES = 64,
+    /* Enough for the caller to read what was sent before. */
+    RESET_DELAY_US = 100 * 1000,
 };
 
-/* What is sent once, and what is repeated for ever. */
+/* What is sent once, and what is repeated for ever; NULL: the connection is
+   reset instead. */
 struct mode {
     const char *name;
     const char *beginning;
@@ -50,6 +53,7 @@
      "xxxxxxxxxxxxxxxx"},
     {"body", STATUS_LINE ANSWERS "\r\n", "xxxxxxxxxxxxxxxx"},
     {"comments", EVENTS ANSWERS "\r\n", ": note\n\n"},
+    {"reset", STATUS_LINE ANSWERS "\r\npart", NULL},
 };
 
 static bool
@@ -111,6 +115,7 @@
 answer(int fd, const struct mode *mode, uint64_t pause_ms)
 {
     static char head[MAX_REQUEST_BYTES];
+    const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
     char *beginning;
     bool open;
 
@@ -119,6 +124,11 @@
     }
     beginning = make_beginning(mode, head);
     open = send_text(fd, beginning, 0);
+    if (mode->unit == NULL) {
+        usleep(RESET_DELAY_US);
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+        open = false;
+    }
     while (open) {
         open = send_text(fd, mode->unit, pause_ms);
     }
--- a/tests/faults/gateway_broken_answers.sh
+++ b/tests/faults/gateway_broken_answers.sh
@@ -1,6 +1,8 @@
 # Workers that send bytes which are no valid response: callers got them as a
 # response, or with a body that was not the worker's.
 . "$(dirname "$0")/lib/gateways.sh"
+UPLOAD_BYTES=33554432
+MAX_BODY=$UPLOAD_BYTES
 start_deployment
 nl=$'\r\n'
 signed="Attempt-Id: @${nl}Response-Signature: signed$nl"
@@ -45,5 +47,21 @@
     expect_failure "status $status" "HTTP/1.1 $status S$nl$signed$body"
 done
 expect_success "a valid response" "HTTP/1.1 200 OK$nl$signed$body"
+
+# A response without a length to a long request, reset while that is written.
+for n in 1 2; do
+    kill_and_reap "worker-$n"
+    store_control "remove?key=servers/worker-$n"
+done
+start reset "$BIN/tests/fake_endless" --ip "$IP" --port 7405 --mode 12
+wait_log reset "ready reset"
+store_control "put?key=servers/worker-9" -d "{\"service\":\"plain\",
+    \"address\":\"$IP:7405\",\"zone\":\"here\",\"version\":\"v1\",
+    \"slots\":4,\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence\":1}"
+wait_log gateway-1 "endpoint=worker-9 state=ready"
+head -c "$UPLOAD_BYTES" /dev/zero >"$WORK/upload"
+expect "a response that is reset during the upload" \
+    "$(call "$GATEWAY" /once/x --data-binary "@$WORK/upload")" 502
+wait_log reset "ended reset"
 expect "starts of the gateway" \
     "$(grep -c 'gateway: started' "$WORK/gateway-1.log")" 1
--- a/tests/raw_answer.c
+++ b/tests/raw_answer.c
@@ -100,11 +100,20 @@
 
 /* What the clients report. */
 
+static void
+post_if_read(struct exchange *exchange)
+{
+    if (exchange->outcome->body_bytes == exchange->expected_body_bytes) {
+        sem_post(&exchange->read);
+    }
+}
+
 static void
 record_head(struct exchange *exchange, uint32_t status)
 {
     exchange->outcome->has_head = true;
     exchange->outcome->status = status;
+    post_if_read(exchange);
 }
 
 static void
@@ -115,9 +124,7 @@
     g_assert_cmpuint(outcome->body_bytes + count, <, sizeof(outcome->body));
     memcpy(outcome->body + outcome->body_bytes, bytes, count);
     outcome->body_bytes += count;
-    if (outcome->body_bytes == exchange->expected_body_bytes) {
-        sem_post(&exchange->read);
-    }
+    post_if_read(exchange);
 }
 
 /* Handlers of the gateway's client. */
--- a/tests/unit/test_broken_answers.c
+++ b/tests/unit/test_broken_answers.c
@@ -10,6 +10,11 @@
 #define OK "HTTP/1.1 200 OK\r\n"
 #define THREE "Content-Length: 3\r\n\r\nabc"
 
+enum {
+    /* More than the buffers of two sockets take. */
+    UPLOAD_BYTES = 32 * 1024 * 1024,
+};
+
 typedef void (*ask_function)(const struct raw_answer *answer,
                              struct raw_answer_outcome *outcome);
 
@@ -93,10 +98,57 @@
     check_no_head("HTTP/1.1 101 Switching Protocols\r\n\r\n" OK THREE);
 }
 
+/* Guards against a response without a length that is reset while its request
+   is being written, and that looks complete: the failed write took the error,
+   and the next read reported the end of the connection. */
+static void
+test_reset_during_upload(void)
+{
+    static const char *const parts[] = {OK "\r\nabc", OK "\r\n",
+                                        "HTTP/1.0 200 OK\r\n\r\nabc"};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+        for (size_t c = 0; c < G_N_ELEMENTS(clients); c++) {
+            const struct raw_answer answer = {.bytes = parts[i],
+                                              .count = strlen(parts[i]),
+                                              .upload_bytes = UPLOAD_BYTES,
+                                              .end = RAW_ANSWER_RESET};
+            struct raw_answer_outcome outcome;
+
+            clients[c](&answer, &outcome);
+            g_assert_true(outcome.has_head);
+            g_assert_false(outcome.complete);
+            g_assert_true(outcome.maybe_run);
+        }
+    }
+}
+
+/* The end of the response was received before the reset. */
+static void
+test_end_during_upload(void)
+{
+    const struct raw_answer answer = {.bytes = OK "\r\nabc",
+                                      .count = strlen(OK "\r\nabc"),
+                                      .upload_bytes = UPLOAD_BYTES,
+                                      .end = RAW_ANSWER_CLOSE_THEN_RESET};
+
+    for (size_t c = 0; c < G_N_ELEMENTS(clients); c++) {
+        struct raw_answer_outcome outcome;
+
+        clients[c](&answer, &outcome);
+        g_assert_true(outcome.complete);
+        g_assert_cmpstr(outcome.body, ==, "abc");
+    }
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/broken-answers/status", test_status);
+    g_test_add_func("/broken-answers/reset-during-upload",
+                    test_reset_during_upload);
+    g_test_add_func("/broken-answers/end-during-upload",
+                    test_end_during_upload);
     return g_test_run();
 }
--- a/tests/unit/test_send_queue.c
+++ b/tests/unit/test_send_queue.c
@@ -1,7 +1,9 @@
 /* Tests the queue of bytes that wait for a socket: the memory of sent bytes,
-   and bytes that are shared with other modules. */
+   bytes that are shared with other modules, and what a failed write tells. */
 
+#include <arpa/inet.h>
 #include <glib.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -29,7 +31,7 @@
 {
     size_t sent;
 
-    g_assert_true(send_queue_write(queue, fd, &sent));
+    g_assert_cmpint(send_queue_write(queue, fd, &sent), ==, SEND_QUEUE_OK);
 }
 
 static void
@@ -110,11 +112,69 @@
     close(fds[1]);
 }
 
+/* fds[0] is connected to fds[1]. */
+static void
+open_tcp_pair(int fds[2])
+{
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    socklen_t size = sizeof(address);
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    g_assert_cmpint(bind(listener, (const struct sockaddr *)&address, size),
+                    ==, 0);
+    g_assert_cmpint(listen(listener, 1), ==, 0);
+    g_assert_cmpint(getsockname(listener, (struct sockaddr *)&address, &size),
+                    ==, 0);
+    fds[0] = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    g_assert_cmpint(connect(fds[0], (const struct sockaddr *)&address, size),
+                    ==, 0);
+    fds[1] = accept(listener, NULL, NULL);
+    close(listener);
+}
+
+/* Returns what the first write after the peer's reset tells. */
+static enum send_queue_result
+write_after_reset(bool peer_has_ended)
+{
+    const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
+    struct send_queue *queue = send_queue_create();
+    struct pollfd poll_fd = {.events = 0};
+    enum send_queue_result result;
+    size_t sent;
+    int fds[2];
+
+    open_tcp_pair(fds);
+    if (peer_has_ended) {
+        shutdown(fds[1], SHUT_WR);
+    }
+    setsockopt(fds[1], SOL_SOCKET, SO_LINGER, &no_linger, sizeof(no_linger));
+    close(fds[1]);
+    poll_fd.fd = fds[0];
+    g_assert_cmpint(poll(&poll_fd, 1, -1), ==, 1);
+    send_queue_add(queue, "late", 4);
+    result = send_queue_write(queue, fds[0], &sent);
+    g_assert_cmpuint(sent, ==, 0);
+    send_queue_destroy(queue);
+    close(fds[0]);
+    return result;
+}
+
+/* Guards against a reset that is taken for the end of a response, and against
+   an end that is taken for a reset since one came after it. */
+static void
+test_failed_write(void)
+{
+    g_assert_cmpint(write_after_reset(false), ==, SEND_QUEUE_BROKEN);
+    g_assert_cmpint(write_after_reset(true), ==, SEND_QUEUE_PEER_ENDED);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/send-queue/never-empty", test_never_empty);
     g_test_add_func("/send-queue/shared", test_shared);
+    g_test_add_func("/send-queue/failed-write", test_failed_write);
     return g_test_run();
 }
