--- a/io/http_connection.c
+++ b/io/http_connection.c
@@ -2,7 +2,6 @@
 
 #include <errno.h>
 #include <glib.h>
-#include <http_parser.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -10,10 +9,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "core/response_framing.h"
-#include "io/head_reader.h"
-#include "io/http_message.h"
 #include "io/loop.h"
+#include "io/message_parser.h"
 #include "io/peer_watch.h"
 #include "io/send_queue.h"
 #include "io/socket_options.h"
@@ -27,13 +24,6 @@
        the connection fails at the second probe as well. */
     KEEPALIVE_PROBES = 1,
     KEEPALIVE_PROBES_WITH_TIMEOUT = 2,
-    /* Informational responses (1xx) before the final one. */
-    MAX_INFORMATIONAL = 16,
-    MAX_HEADERS = 512,
-    /* RFC 9110, section 15. */
-    MIN_STATUS = 100,
-    MAX_STATUS = 599,
-    STATUS_SWITCHING_PROTOCOLS = 101,
 };
 
 struct http_connection {
@@ -48,17 +38,13 @@
     bool paused;
     bool flush_due; /* flush() is deferred until the present handler returns */
     bool awaiting_next; /* message complete; http_connection_next() is due */
-    bool head_only;
-    bool broken;    /* a write has failed before the peer's end came */
-    bool has_extra; /* client: bytes have arrived beyond a response */
-    bool in_head;
+    bool broken;        /* a write has failed before the peer's end came */
+    bool has_extra;     /* client: bytes have arrived beyond a response */
     uint32_t epoll_events;
-    uint32_t informational; /* responses since the last final one */
     struct http_connection_settings settings;
     struct http_connection_handlers handlers;
     void *data;
-    http_parser parser;
-    struct head_reader *head;
+    struct message_parser *parser;
     GByteArray *pipelined;
     struct send_queue *out;
     struct peer_watch *peer;
@@ -103,7 +89,7 @@
 free_connection(struct http_connection *conn)
 {
     loop_timer_destroy(conn->deferred_timer);
-    head_reader_destroy(conn->head);
+    message_parser_destroy(conn->parser);
     g_byte_array_unref(conn->pipelined);
     peer_watch_destroy(conn->peer);
     send_queue_destroy(conn->out);
@@ -183,158 +169,39 @@
     }
 }
 
-/* Callbacks of http-parser. */
+/* Handlers of the parser. */
 
-static int
-on_begin(http_parser *parser)
+static bool
+on_begun(void *data)
 {
-    struct http_connection *conn = parser->data;
+    struct http_connection *conn = data;
 
-    head_reader_begin(conn->head);
-    conn->in_head = true;
     if (conn->handlers.begun != NULL) {
         conn->handlers.begun(conn->data);
     }
-    return conn->destroyed ? -1 : 0;
-}
-
-static int
-on_url(http_parser *parser, const char *at, size_t count)
-{
-    struct http_connection *conn = parser->data;
-
-    head_reader_add_target(conn->head, at, count);
-    return 0;
-}
-
-static int
-on_field(http_parser *parser, const char *at, size_t count)
-{
-    struct http_connection *conn = parser->data;
-
-    head_reader_add_name(conn->head, at, count);
-    return 0;
-}
-
-static int
-on_value(http_parser *parser, const char *at, size_t count)
-{
-    struct http_connection *conn = parser->data;
-
-    head_reader_add_value(conn->head, at, count);
-    return 0;
-}
-
-static void
-fill_head(struct http_connection *conn, struct http_head *head)
-{
-    head_reader_fill(conn->head, head);
-    head->method = http_method_str((enum http_method)conn->parser.method);
-    head->status = conn->parser.status_code;
-    head->keep_alive = http_should_keep_alive(&conn->parser) != 0;
-    head->has_length = (conn->parser.flags & F_CONTENTLENGTH) != 0;
-    head->length_bytes = head->has_length ? conn->parser.content_length : 0;
-    head->until_close =
-        !conn->server && !head->has_length &&
-        (conn->parser.flags & F_CHUNKED) == 0 &&
-        response_framing_has_body(conn->head_only, head->status);
+    return !conn->destroyed;
 }
 
 static bool
-is_head_too_big(const struct http_connection *conn)
+on_head(void *data, const struct http_head *head)
 {
-    return head_reader_bytes(conn->head) > conn->settings.max_head_bytes ||
-           head_reader_count(conn->head) > MAX_HEADERS;
-}
-
-/* The parser takes any number up to 999. Another protocol is never asked for.
- */
-static bool
-has_valid_status(const struct http_connection *conn)
-{
-    unsigned int status = conn->parser.status_code;
-
-    return status >= MIN_STATUS && status <= MAX_STATUS &&
-           status != STATUS_SWITCHING_PROTOCOLS;
-}
+    struct http_connection *conn = data;
 
-static bool
-is_informational(const struct http_connection *conn)
-{
-    return !conn->server && conn->parser.status_code / 100 == 1;
+    conn->handlers.head(conn->data, head);
+    return !conn->destroyed;
 }
 
-/* Whether the head ends the message, whatever it says of a body. */
 static bool
-skips_body(const struct http_connection *conn)
-{
-    return !conn->server && !response_framing_has_body(
-                                conn->head_only, conn->parser.status_code);
-}
-
-static int
-on_head(http_parser *parser)
-{
-    struct http_connection *conn = parser->data;
-    struct http_head head = {0};
-
-    conn->in_head = false;
-    if (!conn->server && !has_valid_status(conn)) {
-        report_end(conn, HTTP_CONNECTION_BAD_MESSAGE);
-        return -1;
-    }
-    if (is_informational(conn)) {
-        conn->informational++;
-        if (conn->informational <= MAX_INFORMATIONAL) {
-            return 1;
-        }
-        report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
-        return -1;
-    }
-    conn->informational = 0;
-    if (is_head_too_big(conn)) {
-        report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
-        return -1;
-    }
-    fill_head(conn, &head);
-    conn->handlers.head(conn->data, &head);
-    if (conn->destroyed) {
-        return -1;
-    }
-    return skips_body(conn) ? 1 : 0;
-}
-
-static int
-on_body(http_parser *parser, const char *at, size_t count)
+on_body(void *data, const uint8_t *bytes, size_t count)
 {
-    struct http_connection *conn = parser->data;
+    struct http_connection *conn = data;
 
-    conn->handlers.body(conn->data, (const uint8_t *)at, count);
-    return conn->destroyed ? -1 : 0;
+    conn->handlers.body(conn->data, bytes, count);
+    return !conn->destroyed;
 }
 
-static int
-on_complete(http_parser *parser)
-{
-    struct http_connection *conn = parser->data;
-
-    if (is_informational(conn)) {
-        return 0;
-    }
-    conn->awaiting_next = true;
-    http_parser_pause(parser, 1);
-    return 0;
-}
-
-static const http_parser_settings parser_settings = {
-    .on_message_begin = on_begin,
-    .on_url = on_url,
-    .on_header_field = on_field,
-    .on_header_value = on_value,
-    .on_headers_complete = on_head,
-    .on_body = on_body,
-    .on_message_complete = on_complete,
-};
+static const struct message_parser_handlers parser_handlers = {
+    on_begun, on_head, on_body};
 
 static void
 buffer_pipelined(struct http_connection *conn, const uint8_t *bytes,
@@ -346,43 +213,53 @@
     }
 }
 
-/* Parses received bytes. Bytes after a complete request are buffered. count 0
-   means that the peer has closed its side. */
 static void
-parse(struct http_connection *conn, const uint8_t *bytes, size_t count)
+handle_complete(struct http_connection *conn, const uint8_t *rest,
+                size_t count)
 {
-    size_t parsed = http_parser_execute(&conn->parser, &parser_settings,
-                                        (const char *)bytes, count);
-
-    if (conn->destroyed || conn->ended) {
-        return;
+    conn->awaiting_next = true;
+    if (conn->server) {
+        buffer_pipelined(conn, rest, count);
     }
-    if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED) {
-        http_parser_pause(&conn->parser, 0);
-        if (conn->server) {
-            buffer_pipelined(conn, bytes + parsed, count - parsed);
-        }
-        conn->has_extra = !conn->server && count > parsed;
-        conn->handlers.complete(conn->data);
-        if (conn->has_extra && !conn->destroyed) {
-            report_end(conn, HTTP_CONNECTION_UNEXPECTED_BYTES);
-        }
-        return;
+    conn->has_extra = !conn->server && count > 0;
+    conn->handlers.complete(conn->data);
+    if (conn->has_extra && !conn->destroyed) {
+        report_end(conn, HTTP_CONNECTION_UNEXPECTED_BYTES);
     }
-    if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
-        /* The parser bounds what surrounds a body, too: chunk extensions and
-           trailers. */
-        report_end(conn,
-                   HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW
-                       ? HTTP_CONNECTION_HEAD_TOO_BIG
-                       : HTTP_CONNECTION_BAD_MESSAGE);
+}
+
+/* rest: bytes that follow a complete message. */
+static void
+handle_result(struct http_connection *conn, enum message_parser_result result,
+              const uint8_t *rest, size_t count)
+{
+    switch (result) {
+    case MESSAGE_PARSER_COMPLETE:
+        handle_complete(conn, rest, count);
         return;
-    }
-    if (conn->in_head && is_head_too_big(conn)) {
+    case MESSAGE_PARSER_INVALID:
+        report_end(conn, HTTP_CONNECTION_BAD_MESSAGE);
+        return;
+    case MESSAGE_PARSER_TOO_LONG:
         report_end(conn, HTTP_CONNECTION_HEAD_TOO_BIG);
+        return;
+    case MESSAGE_PARSER_MORE:
+    case MESSAGE_PARSER_STOPPED:
+        return;
     }
 }
 
+/* Parses received bytes. Bytes after a complete request are buffered. */
+static void
+parse(struct http_connection *conn, const uint8_t *bytes, size_t count)
+{
+    size_t parsed = 0;
+    enum message_parser_result result =
+        message_parser_parse(conn->parser, bytes, count, &parsed);
+
+    handle_result(conn, result, bytes + parsed, count - parsed);
+}
+
 static void
 handle_bytes(struct http_connection *conn, const uint8_t *bytes, size_t count)
 {
@@ -409,7 +286,7 @@
     }
     if (!conn->awaiting_next && !conn->server) {
         /* The end of the connection ends a response without a length. */
-        parse(conn, (const uint8_t *)"", 0);
+        handle_result(conn, message_parser_end(conn->parser), NULL, 0);
         if (conn->destroyed || conn->awaiting_next) {
             return;
         }
@@ -596,9 +473,8 @@
     conn->settings = *settings;
     conn->handlers = *handlers;
     conn->data = data;
-    http_parser_init(&conn->parser, server ? HTTP_REQUEST : HTTP_RESPONSE);
-    conn->parser.data = conn;
-    conn->head = head_reader_create();
+    conn->parser = message_parser_create(!server, settings->max_head_bytes,
+                                         &parser_handlers, conn);
     conn->pipelined = g_byte_array_new();
     conn->out = send_queue_create();
     conn->deferred_timer = loop_timer_create(loop, on_deferred_timer, conn);
@@ -719,7 +595,7 @@
     GByteArray *ahead;
 
     conn->awaiting_next = false;
-    conn->head_only = head_only;
+    message_parser_set_head_only(conn->parser, head_only);
     if (conn->pipelined->len == 0 || conn->ended) {
         return;
     }
