Responses: heads are checked by the grammar before http-parser reads them

Reported by other operators, and it happened here: a worker's response in whose head a header's name held a blank or a control byte reached callers, with that line relayed or with another body than the worker's.

Cause: http-parser takes blanks in names, as distributions build it (without its strict mode), and in place of the LF after a CR any byte, which it drops. So "\rA: b" ended the head and became the body, "Content-Length : 3" ended the body and was relayed besides, and a line that began with a blank was joined to the value before. The same build takes HXXXX1.1 or HTTP/9.9 for the protocol, 0200 for a status, and a control byte as the first of a value, a NUL included.

Change: core/message_syntax checks the bytes of each head by RFC 9112 before http-parser gets them, so that both agree on its lines and its end; the first invalid byte makes the response a bad message, as before for what http-parser refused itself. Continued lines are refused, which the RFC leaves to gateways. Ways that were weighed: another parser (a change of all that reads HTTP), a strict build of this one (its sources would have to come in), a check of the names that it reports (it does not report the bytes that it drops).

--- /dev/null
+++ b/core/message_syntax.c
@@ -0,0 +1,146 @@
+#include "core/message_syntax.h"
+
+#include <glib.h>
+#include <stdint.h>
+#include <string.h>
+
+enum state {
+    STATE_START, /* blank lines before a message are skipped */
+    STATE_VERSION,
+    STATE_REASON,
+    STATE_LINE_START, /* of a header or the blank line */
+    STATE_NAME,
+    STATE_VALUE,
+    STATE_LINE_END, /* after CR */
+    STATE_LAST_END, /* after CR of the blank line */
+    STATE_BODY,
+    STATE_INVALID,
+};
+
+struct message_syntax {
+    enum state state;
+    size_t version_bytes; /* of the status line, up to the status */
+};
+
+/* The beginning of a status line: d is a digit, s the class of a status. */
+static const char status_line[] = "HTTP/1.d sdd";
+
+struct message_syntax *
+message_syntax_create(void)
+{
+    return g_new0(struct message_syntax, 1);
+}
+
+void
+message_syntax_destroy(struct message_syntax *syntax)
+{
+    g_free(syntax);
+}
+
+void
+message_syntax_begin(struct message_syntax *syntax)
+{
+    syntax->state = STATE_START;
+    syntax->version_bytes = 0;
+}
+
+/* A token's character, RFC 9110, section 5.6.2. */
+static bool
+is_name_byte(uint8_t byte)
+{
+    return g_ascii_isalnum(byte) ||
+           (byte != '\0' && strchr("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Of a header's value or a reason phrase. */
+static bool
+is_text_byte(uint8_t byte)
+{
+    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
+static enum state
+next_in_version(struct message_syntax *syntax, uint8_t byte)
+{
+    char expected = status_line[syntax->version_bytes];
+
+    syntax->version_bytes++;
+    switch (expected) {
+    case '\0':
+        if (byte == '\r') {
+            return STATE_LINE_END;
+        }
+        return byte == ' ' ? STATE_REASON : STATE_INVALID;
+    case 'd':
+        return g_ascii_isdigit(byte) ? STATE_VERSION : STATE_INVALID;
+    case 's':
+        return byte >= '1' && byte <= '5' ? STATE_VERSION : STATE_INVALID;
+    default:
+        return byte == (uint8_t)expected ? STATE_VERSION : STATE_INVALID;
+    }
+}
+
+static enum state
+next_in_text(enum state state, uint8_t byte)
+{
+    if (byte == '\r') {
+        return STATE_LINE_END;
+    }
+    return is_text_byte(byte) ? state : STATE_INVALID;
+}
+
+static enum state
+next_state(struct message_syntax *syntax, uint8_t byte)
+{
+    switch (syntax->state) {
+    case STATE_START:
+        return byte == '\r' || byte == '\n' ? STATE_START
+                                            : next_in_version(syntax, byte);
+    case STATE_VERSION:
+        return next_in_version(syntax, byte);
+    case STATE_REASON:
+    case STATE_VALUE:
+        return next_in_text(syntax->state, byte);
+    case STATE_LINE_START:
+        if (byte == '\r') {
+            return STATE_LAST_END;
+        }
+        /* A line that begins with a blank would continue the one before
+           (RFC 9112, section 5.2): it is deprecated, and refused. */
+        return is_name_byte(byte) ? STATE_NAME : STATE_INVALID;
+    case STATE_NAME:
+        if (byte == ':') {
+            return STATE_VALUE;
+        }
+        return is_name_byte(byte) ? STATE_NAME : STATE_INVALID;
+    case STATE_LINE_END:
+        return byte == '\n' ? STATE_LINE_START : STATE_INVALID;
+    case STATE_LAST_END:
+        return byte == '\n' ? STATE_BODY : STATE_INVALID;
+    case STATE_BODY:
+    case STATE_INVALID:
+        break;
+    }
+    return syntax->state;
+}
+
+enum message_syntax_result
+message_syntax_check(struct message_syntax *syntax, const void *bytes,
+                     size_t count, size_t *valid)
+{
+    const uint8_t *at = bytes;
+
+    *valid = 0;
+    while (*valid < count && syntax->state != STATE_BODY) {
+        syntax->state = next_state(syntax, at[*valid]);
+        if (syntax->state == STATE_INVALID) {
+            return MESSAGE_SYNTAX_INVALID;
+        }
+        (*valid)++;
+        if (syntax->state == STATE_BODY) {
+            return MESSAGE_SYNTAX_END;
+        }
+    }
+    *valid = count;
+    return MESSAGE_SYNTAX_VALID;
+}
--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "core/message_syntax.h"
 #include "core/response_framing.h"
 #include "io/head_reader.h"
 #include "io/http_message.h"
@@ -26,6 +27,7 @@
     struct message_parser_handlers handlers;
     void *data;
     enum message_parser_result failure; /* of a callback that returned -1 */
+    struct message_syntax *syntax;      /* of responses; NULL: of requests */
     http_parser http;
     struct head_reader *head;
 };
@@ -168,7 +170,12 @@
 static int
 on_complete(http_parser *http)
 {
-    if (!is_informational(http->data)) {
+    struct message_parser *parser = http->data;
+
+    if (parser->syntax != NULL) {
+        message_syntax_begin(parser->syntax);
+    }
+    if (!is_informational(parser)) {
         http_parser_pause(http, 1);
     }
     return 0;
@@ -196,6 +203,7 @@
     parser->handlers = *handlers;
     parser->data = data;
     parser->head = head_reader_create();
+    parser->syntax = of_responses ? message_syntax_create() : NULL;
     http_parser_init(&parser->http,
                      of_responses ? HTTP_RESPONSE : HTTP_REQUEST);
     parser->http.data = parser;
@@ -209,6 +217,7 @@
         return;
     }
     head_reader_destroy(parser->head);
+    message_syntax_destroy(parser->syntax);
     g_free(parser);
 }
 
@@ -251,11 +260,43 @@
     }
 }
 
+static enum message_syntax_result
+check_syntax(struct message_parser *parser, const uint8_t *bytes, size_t count,
+             size_t *valid)
+{
+    if (parser->syntax != NULL) {
+        return message_syntax_check(parser->syntax, bytes, count, valid);
+    }
+    *valid = count;
+    return MESSAGE_SYNTAX_VALID;
+}
+
 enum message_parser_result
 message_parser_parse(struct message_parser *parser, const uint8_t *bytes,
                      size_t count, size_t *parsed)
 {
-    return execute(parser, bytes, count, parsed);
+    *parsed = 0;
+    while (*parsed < count) {
+        enum message_parser_result result = MESSAGE_PARSER_MORE;
+        const uint8_t *rest = bytes + *parsed;
+        size_t executed = 0;
+        size_t valid;
+        enum message_syntax_result syntax =
+            check_syntax(parser, rest, count - *parsed, &valid);
+
+        if (valid > 0) {
+            result = execute(parser, rest, valid, &executed);
+        }
+        *parsed += executed;
+        if (result != MESSAGE_PARSER_MORE) {
+            return result;
+        }
+        if (syntax == MESSAGE_SYNTAX_INVALID ||
+            (syntax == MESSAGE_SYNTAX_END && parser->in_head)) {
+            return MESSAGE_PARSER_INVALID;
+        }
+    }
+    return MESSAGE_PARSER_MORE;
 }
 
 enum message_parser_result
--- a/tests/faults/gateway_broken_answers.sh
+++ b/tests/faults/gateway_broken_answers.sh
@@ -46,6 +46,12 @@
 for status in 000 007 099 101 600 999; do
     expect_failure "status $status" "HTTP/1.1 $status S$nl$signed$body"
 done
+for line in 'A b: c' 'A : b' ' A: b' $'A\x01b: c' $'A\tb: c' $'\rA: b' $'\nA: b' \
+    "Content Length: 3" "Content-Length : 3" "Transfer-Encoding : chunked"; do
+    printf -v shown '%q' "$line"
+    expect_failure "header $shown" "HTTP/1.1 200 OK$nl$signed$line$nl$body"
+    expect_failure "first header $shown" "HTTP/1.1 200 OK$nl$line$nl$signed$body"
+done
 expect_success "a valid response" "HTTP/1.1 200 OK$nl$signed$body"
 
 # A response without a length to a long request, reset while that is written.
--- a/tests/unit/test_broken_answers.c
+++ b/tests/unit/test_broken_answers.c
@@ -98,6 +98,40 @@
     check_no_head("HTTP/1.1 101 Switching Protocols\r\n\r\n" OK THREE);
 }
 
+/* Guards against heads that http-parser accepts and the protocol does not.
+   What is valid is in tests/syntax. */
+static void
+test_head(void)
+{
+    static const char *const invalid[] = {
+        "HTTP/1.1 0200 OK\r\n" THREE,
+        "HTTP/1.1 7 OK\r\n" THREE,
+        "HTTP/9.9 200 OK\r\n" THREE,
+        "HXXXX1.1 200 OK\r\n" THREE,
+        "HTTP/1.1 200 OK\rX" THREE,
+        OK "A b: c\r\n" THREE,
+        OK "A : b\r\n" THREE,
+        OK " A: b\r\n" THREE,
+        OK "A: b\r\n c: d\r\n" THREE,
+        OK "A: b\r\n\tc: d\r\n" THREE,
+        OK "A: \001b\r\n" THREE,
+        OK "\rA: b\r\n" THREE,
+        OK "\nA: b\r\n" THREE,
+        OK "A\001b: c\r\n" THREE,
+        OK "Content-Length : 3\r\n\r\nabc",
+        OK "Content-\tLength: 3\r\n\r\nabc",
+        OK "Transfer-Encoding : chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nA b: c\r\n\r\n" OK THREE,
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        check_no_head(invalid[i]);
+    }
+    check_valid(OK "X-0!#$%&'*+-.^_`|~z: \351 \"quoted\" \t(c)\r\n" THREE, 200,
+                "abc");
+    check_valid("HTTP/1.0 404\r\nEmpty:\r\n\r\nabc", 404, "abc");
+}
+
 /* Guards against a response without a length that is reset while its request
    is being written, and that looks complete: the failed write took the error,
    and the next read reported the end of the connection. */
@@ -146,6 +180,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/broken-answers/status", test_status);
+    g_test_add_func("/broken-answers/head", test_head);
     g_test_add_func("/broken-answers/reset-during-upload",
                     test_reset_during_upload);
     g_test_add_func("/broken-answers/end-during-upload",
