Responses: the framing of chunks is checked before http-parser reads it

Callers would see: a body in chunks as complete with a part left out, or what follows an end that is none.

Cause: the same build of http-parser drops any two bytes after a chunk in place of CR LF, any byte after a CR, and anything after a size and a blank; names of trailers may have blanks.

Change: core/message_syntax checks sizes, extensions, the ends of chunks and trailers as well, the data itself in one step.

--- a/core/message_syntax.c
+++ b/core/message_syntax.c
@@ -14,11 +14,24 @@
     STATE_LINE_END, /* after CR */
     STATE_LAST_END, /* after CR of the blank line */
     STATE_BODY,
+    STATE_CHUNK, /* its size is due */
+    STATE_CHUNK_SIZE,
+    STATE_CHUNK_BLANK, /* between the size and an extension or the end */
+    STATE_CHUNK_EXTENSION,
+    STATE_CHUNK_SIZE_END, /* after CR */
+    STATE_CHUNK_DATA,
+    STATE_CHUNK_DATA_END, /* CR is due */
+    STATE_CHUNK_END,      /* after CR */
     STATE_INVALID,
 };
 
+enum {
+    HEXADECIMAL = 16,
+};
+
 struct message_syntax {
     enum state state;
+    uint64_t chunk_bytes; /* that are still due */
     size_t version_bytes; /* of the status line, up to the status */
 };
 
@@ -44,6 +57,13 @@
     syntax->version_bytes = 0;
 }
 
+void
+message_syntax_begin_chunks(struct message_syntax *syntax)
+{
+    syntax->state = STATE_CHUNK;
+    syntax->chunk_bytes = 0;
+}
+
 /* A token's character, RFC 9110, section 5.6.2. */
 static bool
 is_name_byte(uint8_t byte)
@@ -80,15 +100,72 @@
     }
 }
 
+/* end: the state after CR. */
 static enum state
-next_in_text(enum state state, uint8_t byte)
+next_in_text(enum state state, enum state end, uint8_t byte)
 {
     if (byte == '\r') {
-        return STATE_LINE_END;
+        return end;
     }
     return is_text_byte(byte) ? state : STATE_INVALID;
 }
 
+static enum state
+next_in_chunk_size(struct message_syntax *syntax, uint8_t byte)
+{
+    if (!g_ascii_isxdigit(byte) ||
+        syntax->chunk_bytes > UINT64_MAX / HEXADECIMAL) {
+        return STATE_INVALID;
+    }
+    syntax->chunk_bytes = syntax->chunk_bytes * HEXADECIMAL +
+                          (uint64_t)g_ascii_xdigit_value((char)byte);
+    return STATE_CHUNK_SIZE;
+}
+
+static enum state
+next_after_chunk_size(uint8_t byte)
+{
+    switch (byte) {
+    case ' ':
+    case '\t':
+        return STATE_CHUNK_BLANK;
+    case ';':
+        return STATE_CHUNK_EXTENSION;
+    case '\r':
+        return STATE_CHUNK_SIZE_END;
+    default:
+        return STATE_INVALID;
+    }
+}
+
+static enum state
+next_in_chunk(struct message_syntax *syntax, uint8_t byte)
+{
+    switch (syntax->state) {
+    case STATE_CHUNK:
+        return next_in_chunk_size(syntax, byte);
+    case STATE_CHUNK_SIZE:
+        return g_ascii_isxdigit(byte) ? next_in_chunk_size(syntax, byte)
+                                      : next_after_chunk_size(byte);
+    case STATE_CHUNK_BLANK:
+        return next_after_chunk_size(byte);
+    case STATE_CHUNK_EXTENSION:
+        return next_in_text(syntax->state, STATE_CHUNK_SIZE_END, byte);
+    case STATE_CHUNK_SIZE_END:
+        if (byte != '\n') {
+            return STATE_INVALID;
+        }
+        /* Trailers follow the last chunk. */
+        return syntax->chunk_bytes > 0 ? STATE_CHUNK_DATA : STATE_LINE_START;
+    case STATE_CHUNK_DATA_END:
+        return byte == '\r' ? STATE_CHUNK_END : STATE_INVALID;
+    case STATE_CHUNK_END:
+        return byte == '\n' ? STATE_CHUNK : STATE_INVALID;
+    default:
+        return STATE_INVALID;
+    }
+}
+
 static enum state
 next_state(struct message_syntax *syntax, uint8_t byte)
 {
@@ -100,7 +177,7 @@
         return next_in_version(syntax, byte);
     case STATE_REASON:
     case STATE_VALUE:
-        return next_in_text(syntax->state, byte);
+        return next_in_text(syntax->state, STATE_LINE_END, byte);
     case STATE_LINE_START:
         if (byte == '\r') {
             return STATE_LAST_END;
@@ -117,11 +194,26 @@
         return byte == '\n' ? STATE_LINE_START : STATE_INVALID;
     case STATE_LAST_END:
         return byte == '\n' ? STATE_BODY : STATE_INVALID;
-    case STATE_BODY:
-    case STATE_INVALID:
-        break;
+    default:
+        return next_in_chunk(syntax, byte);
+    }
+}
+
+/* Returns how many bytes are a chunk's data. */
+static size_t
+skip_data(struct message_syntax *syntax, size_t count)
+{
+    size_t skipped;
+
+    if (syntax->state != STATE_CHUNK_DATA) {
+        return 0;
     }
-    return syntax->state;
+    skipped = (size_t)MIN(syntax->chunk_bytes, count);
+    syntax->chunk_bytes -= skipped;
+    if (syntax->chunk_bytes == 0) {
+        syntax->state = STATE_CHUNK_DATA_END;
+    }
+    return skipped;
 }
 
 enum message_syntax_result
@@ -132,6 +224,10 @@
 
     *valid = 0;
     while (*valid < count && syntax->state != STATE_BODY) {
+        *valid += skip_data(syntax, count - *valid);
+        if (*valid == count) {
+            break;
+        }
         syntax->state = next_state(syntax, at[*valid]);
         if (syntax->state == STATE_INVALID) {
             return MESSAGE_SYNTAX_INVALID;
--- a/core/message_syntax.h
+++ b/core/message_syntax.h
@@ -4,16 +4,18 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Checks the head of a response by the grammar of RFC 9112, before a parser
-   that accepts more reads it: http-parser, as distributions build it, takes
-   blanks in names of headers, and skips bytes that should be a line's end.
-   Bytes may arrive in any pieces. */
+/* Checks the head of a response, and the framing of its chunks, by the grammar
+   of RFC 9112, before a parser that accepts more reads them: http-parser, as
+   distributions build it, takes blanks in names of headers, and skips bytes
+   that should be the end of a line or a chunk. Bytes may arrive in any pieces.
+ */
 
 struct message_syntax;
 
 enum message_syntax_result {
     MESSAGE_SYNTAX_VALID, /* all bytes */
-    MESSAGE_SYNTAX_END,   /* a head ends after the valid bytes */
+    /* A head, or a body in chunks, ends after the valid bytes. */
+    MESSAGE_SYNTAX_END,
     MESSAGE_SYNTAX_INVALID,
 };
 
@@ -23,8 +25,12 @@
 /* Begins the next response. */
 void message_syntax_begin(struct message_syntax *syntax);
 
-/* Checks bytes up to the first invalid one or the end of the head, and sets
- *valid to their number. Of a body all bytes are valid. */
+/* Says after the end of a head that the body is in chunks. Of any other body
+   all bytes are valid. */
+void message_syntax_begin_chunks(struct message_syntax *syntax);
+
+/* Checks bytes up to the first invalid one or an end, and sets *valid to their
+   number. */
 enum message_syntax_result message_syntax_check(struct message_syntax *syntax,
                                                 const void *bytes,
                                                 size_t count, size_t *valid);
--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -154,6 +154,9 @@
     if (!parser->handlers.head(parser->data, &head)) {
         return fail(parser, MESSAGE_PARSER_STOPPED);
     }
+    if (parser->syntax != NULL && (http->flags & F_CHUNKED) != 0) {
+        message_syntax_begin_chunks(parser->syntax);
+    }
     return skips_body(parser) ? 1 : 0;
 }
 
--- a/tests/syntax_runner.c
+++ b/tests/syntax_runner.c
@@ -30,11 +30,15 @@
 
 /* Returns the last result, and the number of valid bytes up to there. */
 static enum message_syntax_result
-check_in_pieces(const GString *text, size_t piece_bytes, size_t *total)
+check_in_pieces(const GString *text, bool chunks, size_t piece_bytes,
+                size_t *total)
 {
     struct message_syntax *syntax = message_syntax_create();
     enum message_syntax_result result = MESSAGE_SYNTAX_VALID;
 
+    if (chunks) {
+        message_syntax_begin_chunks(syntax);
+    }
     *total = 0;
     while (*total < text->len && result == MESSAGE_SYNTAX_VALID) {
         size_t valid;
@@ -49,13 +53,13 @@
 }
 
 static enum message_syntax_result
-check(const GString *text, size_t *valid)
+check(const GString *text, bool chunks, size_t *valid)
 {
     size_t valid_in_pieces;
     enum message_syntax_result result =
-        check_in_pieces(text, text->len, valid);
+        check_in_pieces(text, chunks, text->len, valid);
 
-    if (check_in_pieces(text, 1, &valid_in_pieces) != result ||
+    if (check_in_pieces(text, chunks, 1, &valid_in_pieces) != result ||
         valid_in_pieces != *valid) {
         script_error("another result byte by byte");
     }
@@ -63,42 +67,43 @@
 }
 
 static void
-print_check(const GString *text, const char *escaped)
+print_check(const GString *text, bool chunks, const char *escaped)
 {
     size_t valid;
-    enum message_syntax_result result = check(text, &valid);
+    enum message_syntax_result result = check(text, chunks, &valid);
 
     printf("%s at %zu of %zu: %s\n", result_texts[result], valid, text->len,
            escaped);
 }
 
 static bool
-is_valid_with(GString *text, size_t at, int byte)
+is_valid_with(GString *text, bool chunks, size_t at, int byte)
 {
     size_t valid;
 
     text->str[at] = (char)byte;
-    return check(text, &valid) != MESSAGE_SYNTAX_INVALID;
+    return check(text, chunks, &valid) != MESSAGE_SYNTAX_INVALID;
 }
 
 /* Prints the valid bytes as ranges of hexadecimal numbers. */
 static void
-print_scan(GString *text, const char *escaped)
+print_scan(GString *text, bool chunks, const char *escaped)
 {
-    const char *at = strchr(text->str, '@');
+    const char *mark = strchr(text->str, '@');
+    size_t at;
 
-    if (at == NULL) {
+    if (mark == NULL) {
         script_error("no @");
     }
+    at = (size_t)(mark - text->str);
     printf("valid:");
     for (int first = 0; first < BYTES; first++) {
         int last = first;
 
-        if (!is_valid_with(text, (size_t)(at - text->str), first)) {
+        if (!is_valid_with(text, chunks, at, first)) {
             continue;
         }
-        while (last + 1 < BYTES &&
-               is_valid_with(text, (size_t)(at - text->str), last + 1)) {
+        while (last + 1 < BYTES && is_valid_with(text, chunks, at, last + 1)) {
             last++;
         }
         printf(first < last ? " %02x-%02x" : " %02x", (unsigned)first,
@@ -111,16 +116,19 @@
 static void
 run_line(void *data, char *const *words)
 {
+    bool *chunks = data;
     char *escaped = g_strjoinv(" ", (char **)words + 1);
     char *plain = g_strcompress(escaped);
     GString *text = g_string_new(plain);
 
-    (void)data;
-    if (strcmp(words[0], "check") == 0) {
-        print_check(text, escaped);
+    if (strcmp(words[0], "chunks") == 0) {
+        *chunks = true;
+    }
+    else if (strcmp(words[0], "check") == 0) {
+        print_check(text, *chunks, escaped);
     }
     else if (strcmp(words[0], "scan") == 0) {
-        print_scan(text, escaped);
+        print_scan(text, *chunks, escaped);
     }
     else {
         script_error(words[0]);
@@ -133,6 +141,8 @@
 int
 main(int argc, char **argv)
 {
-    script_run(argc, argv, run_line, NULL);
+    bool chunks = false;
+
+    script_run(argc, argv, run_line, &chunks);
     return EXIT_SUCCESS;
 }
--- a/tests/unit/test_broken_answers.c
+++ b/tests/unit/test_broken_answers.c
@@ -8,6 +8,7 @@
 #include "tests/raw_answer.h"
 
 #define OK "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
 #define THREE "Content-Length: 3\r\n\r\nabc"
 
 enum {
@@ -132,6 +133,34 @@
     check_valid("HTTP/1.0 404\r\nEmpty:\r\n\r\nabc", 404, "abc");
 }
 
+/* Guards against a body in chunks of which a part was left out. */
+static void
+test_chunks(void)
+{
+    static const char *const invalid[] = {
+        CHUNKED "3\r\nabcXX0\r\n\r\n",
+        CHUNKED "3\r\nabc\r\n2\r\nde60\r\n\r\n",
+        CHUNKED "3\rXabc\r\n0\r\n\r\n",
+        CHUNKED "3 zz\r\nabc\r\n0\r\n\r\n",
+        CHUNKED "3\r\nabc\r\n0\r\n\rX",
+        CHUNKED "3\r\nabc\r\n0\r\nA b: c\r\n\r\n",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(invalid); i++) {
+        for (size_t c = 0; c < G_N_ELEMENTS(clients); c++) {
+            struct raw_answer_outcome outcome;
+
+            ask_for(clients[c], invalid[i], &outcome);
+            if (outcome.complete || !outcome.maybe_run) {
+                g_error("client %zu: complete=%d body=%s of %s", c,
+                        outcome.complete, outcome.body, invalid[i]);
+            }
+        }
+    }
+    check_valid(CHUNKED "3;a=b\r\nabc\r\n02 \r\nde\r\n0\r\nA: b\r\n\r\n", 200,
+                "abcde");
+}
+
 /* Guards against a response without a length that is reset while its request
    is being written, and that looks complete: the failed write took the error,
    and the next read reported the end of the connection. */
@@ -181,6 +210,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/broken-answers/status", test_status);
     g_test_add_func("/broken-answers/head", test_head);
+    g_test_add_func("/broken-answers/chunks", test_chunks);
     g_test_add_func("/broken-answers/reset-during-upload",
                     test_reset_during_upload);
     g_test_add_func("/broken-answers/end-during-upload",
