Responses: transfer codings that are not decoded fail the attempt

Callers would see: a response with "Transfer-Encoding: gzip" or "gzip, chunked" as complete, with the coded bytes for its body and without the header that says so.

Cause: http-parser takes any transfer coding, decodes chunks alone, and reads anything else to the end of the connection. The header concerns the connection and is not relayed. TE is not forwarded, so that endpoints are asked for no coding.

Change: a response with a body may have one Transfer-Encoding, chunked.

Evidence: test_broken_answers (gzip: head=1 status=200 complete=1) and faults_gateway_broken_answers (200 in place of 502) failed before.

--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <http_parser.h>
+#include <string.h>
 
 #include "core/message_syntax.h"
 #include "core/response_framing.h"
@@ -130,6 +131,25 @@
                                       parser->http.status_code);
 }
 
+/* Whether the body can be told from its transfer codings, of which only chunks
+   are decoded. http-parser takes any, and leaves blanks after a value. */
+static bool
+has_known_coding(const struct http_head *head)
+{
+    static const char chunked[] = "chunked";
+    size_t codings = http_head_count(head, "Transfer-Encoding");
+    const char *coding = http_head_value(head, "Transfer-Encoding");
+
+    if (codings != 1) {
+        return codings == 0;
+    }
+    if (g_ascii_strncasecmp(coding, chunked, strlen(chunked)) != 0) {
+        return false;
+    }
+    coding += strlen(chunked);
+    return coding[strspn(coding, " \t")] == '\0';
+}
+
 static int
 on_head(http_parser *http)
 {
@@ -151,6 +171,10 @@
         return fail(parser, MESSAGE_PARSER_TOO_LONG);
     }
     fill_head(parser, &head);
+    if (parser->of_responses && !skips_body(parser) &&
+        !has_known_coding(&head)) {
+        return fail(parser, MESSAGE_PARSER_INVALID);
+    }
     if (!parser->handlers.head(parser->data, &head)) {
         return fail(parser, MESSAGE_PARSER_STOPPED);
     }
--- a/tests/faults/gateway_broken_answers.sh
+++ b/tests/faults/gateway_broken_answers.sh
@@ -52,12 +52,17 @@
     expect_failure "header $shown" "HTTP/1.1 200 OK$nl$signed$line$nl$body"
     expect_failure "first header $shown" "HTTP/1.1 200 OK$nl$line$nl$signed$body"
 done
+chunks="3${nl}abc${nl}0$nl$nl"
+for coding in gzip 'gzip, chunked' 'chunked, gzip'; do
+    expect_failure "transfer coding $coding" \
+        "HTTP/1.1 200 OK$nl${signed}Transfer-Encoding: $coding$nl$nl$chunks"
+done
 chunked="HTTP/1.1 200 OK$nl${signed}Transfer-Encoding: chunked$nl$nl"
-for chunks in "3${nl}abcXX0$nl$nl" $'3\rXabc\r\n0\r\n\r\n' \
+for broken in "3${nl}abcXX0$nl$nl" $'3\rXabc\r\n0\r\n\r\n' \
     "3${nl}abc${nl}0${nl}A b: c$nl$nl"; do
-    expect_failure "chunks ${chunks@Q}" "$chunked$chunks"
+    expect_failure "chunks ${broken@Q}" "$chunked$broken"
 done
-expect_success "valid chunks" "${chunked}3${nl}abc${nl}0$nl$nl"
+expect_success "valid chunks" "$chunked$chunks"
 expect_success "a valid response" "HTTP/1.1 200 OK$nl$signed$body"
 
 # A response without a length to a long request, reset while that is written.
--- a/tests/unit/test_broken_answers.c
+++ b/tests/unit/test_broken_answers.c
@@ -133,6 +133,37 @@
     check_valid("HTTP/1.0 404\r\nEmpty:\r\n\r\nabc", 404, "abc");
 }
 
+/* Guards against a body that is relayed as it was coded for the connection,
+   without the header that says so. */
+static void
+test_coding(void)
+{
+    static const char *const codings[] = {
+        "gzip",
+        "gzip, chunked",
+        "chunked, gzip",
+        "",
+        "chunked;a=b",
+        "identity",
+        "x",
+        "chunked\r\nTransfer-Encoding: chunked",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(codings); i++) {
+        char *bytes = g_strdup_printf(
+            OK "Transfer-Encoding: %s\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+            codings[i]);
+
+        check_no_head(bytes);
+        g_free(bytes);
+    }
+    check_valid(OK "Transfer-Encoding:\tCHUNKED \r\n\r\n"
+                   "3\r\nabc\r\n0\r\n\r\n",
+                200, "abc");
+    check_valid("HTTP/1.1 204 No Content\r\nTransfer-Encoding: gzip\r\n\r\n",
+                204, "");
+}
+
 /* Guards against a body in chunks of which a part was left out. */
 static void
 test_chunks(void)
@@ -210,6 +241,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/broken-answers/status", test_status);
     g_test_add_func("/broken-answers/head", test_head);
+    g_test_add_func("/broken-answers/coding", test_coding);
     g_test_add_func("/broken-answers/chunks", test_chunks);
     g_test_add_func("/broken-answers/reset-during-upload",
                     test_reset_during_upload);
