Requests: heads and chunks are checked like those of responses

Found by looking for the same cause as that of responses' heads, which is in the code that both share. Callers could send "Transfer-Encoding : chunked": the gateway took it for the framing, and relayed the line under its odd name beside a length of its own, so that an endpoint as lenient could read another request out of the body. "Content-Length : 0" likewise.

Change: core/message_syntax checks requests as well, but for the request line, which http-parser checks; the end of a line may be LF alone, which was accepted before and which RFC 9112 leaves to servers. Such a request gets 400, as one with two lengths does.

Evidence: test_callers (seven heads) failed before: the first was taken for a request. Now test_callers, tests/syntax and the tests of gateways and of mutations pass; the ablation fails without the check.

--- a/core/message_syntax.c
+++ b/core/message_syntax.c
@@ -6,7 +6,8 @@
 
 enum state {
     STATE_START, /* blank lines before a message are skipped */
-    STATE_VERSION,
+    STATE_REQUEST_LINE,
+    STATE_VERSION, /* of a response, and the status */
     STATE_REASON,
     STATE_LINE_START, /* of a header or the blank line */
     STATE_NAME,
@@ -30,6 +31,7 @@
 };
 
 struct message_syntax {
+    bool of_responses;
     enum state state;
     uint64_t chunk_bytes; /* that are still due */
     size_t version_bytes; /* of the status line, up to the status */
@@ -39,9 +41,12 @@
 static const char status_line[] = "HTTP/1.d sdd";
 
 struct message_syntax *
-message_syntax_create(void)
+message_syntax_create(bool of_responses)
 {
-    return g_new0(struct message_syntax, 1);
+    struct message_syntax *syntax = g_new0(struct message_syntax, 1);
+
+    syntax->of_responses = of_responses;
+    return syntax;
 }
 
 void
@@ -166,25 +171,62 @@
     }
 }
 
+static enum state
+next_in_start(struct message_syntax *syntax, uint8_t byte)
+{
+    if (byte == '\r' || byte == '\n') {
+        return STATE_START;
+    }
+    return syntax->of_responses ? next_in_version(syntax, byte)
+                                : STATE_REQUEST_LINE;
+}
+
+static enum state
+next_in_request_line(uint8_t byte)
+{
+    switch (byte) {
+    case '\r':
+        return STATE_LINE_END;
+    case '\n':
+        return STATE_LINE_START;
+    default:
+        return STATE_REQUEST_LINE;
+    }
+}
+
+static enum state
+next_in_line_start(const struct message_syntax *syntax, uint8_t byte)
+{
+    if (byte == '\r') {
+        return STATE_LAST_END;
+    }
+    if (byte == '\n' && !syntax->of_responses) {
+        return STATE_BODY;
+    }
+    /* A line that begins with a blank would continue the one before (RFC 9112,
+       section 5.2): it is deprecated, and refused. */
+    return is_name_byte(byte) ? STATE_NAME : STATE_INVALID;
+}
+
 static enum state
 next_state(struct message_syntax *syntax, uint8_t byte)
 {
     switch (syntax->state) {
     case STATE_START:
-        return byte == '\r' || byte == '\n' ? STATE_START
-                                            : next_in_version(syntax, byte);
+        return next_in_start(syntax, byte);
+    case STATE_REQUEST_LINE:
+        return next_in_request_line(byte);
     case STATE_VERSION:
         return next_in_version(syntax, byte);
-    case STATE_REASON:
     case STATE_VALUE:
+        if (byte == '\n' && !syntax->of_responses) {
+            return STATE_LINE_START;
+        }
+        return next_in_text(syntax->state, STATE_LINE_END, byte);
+    case STATE_REASON:
         return next_in_text(syntax->state, STATE_LINE_END, byte);
     case STATE_LINE_START:
-        if (byte == '\r') {
-            return STATE_LAST_END;
-        }
-        /* A line that begins with a blank would continue the one before
-           (RFC 9112, section 5.2): it is deprecated, and refused. */
-        return is_name_byte(byte) ? STATE_NAME : STATE_INVALID;
+        return next_in_line_start(syntax, byte);
     case STATE_NAME:
         if (byte == ':') {
             return STATE_VALUE;
--- a/core/message_syntax.h
+++ b/core/message_syntax.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-/* Checks the head of a response, and the framing of its chunks, by the grammar
+/* Checks the head of a message, and the framing of its chunks, by the grammar
    of RFC 9112, before a parser that accepts more reads them: http-parser, as
    distributions build it, takes blanks in names of headers, and skips bytes
    that should be the end of a line or a chunk. Bytes may arrive in any pieces.
@@ -19,10 +19,12 @@
     MESSAGE_SYNTAX_INVALID,
 };
 
-struct message_syntax *message_syntax_create(void);
+/* Of responses or of requests, whose request lines are not checked and whose
+   lines may end with LF alone (RFC 9112, section 2.2). */
+struct message_syntax *message_syntax_create(bool of_responses);
 void message_syntax_destroy(struct message_syntax *syntax);
 
-/* Begins the next response. */
+/* Begins the next message. */
 void message_syntax_begin(struct message_syntax *syntax);
 
 /* Says after the end of a head that the body is in chunks. Of any other body
--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -178,7 +178,7 @@
     if (!parser->handlers.head(parser->data, &head)) {
         return fail(parser, MESSAGE_PARSER_STOPPED);
     }
-    if (parser->syntax != NULL && (http->flags & F_CHUNKED) != 0) {
+    if ((http->flags & F_CHUNKED) != 0) {
         message_syntax_begin_chunks(parser->syntax);
     }
     return skips_body(parser) ? 1 : 0;
@@ -199,9 +199,7 @@
 {
     struct message_parser *parser = http->data;
 
-    if (parser->syntax != NULL) {
-        message_syntax_begin(parser->syntax);
-    }
+    message_syntax_begin(parser->syntax);
     if (!is_informational(parser)) {
         http_parser_pause(http, 1);
     }
@@ -230,7 +228,7 @@
     parser->handlers = *handlers;
     parser->data = data;
     parser->head = head_reader_create();
-    parser->syntax = of_responses ? message_syntax_create() : NULL;
+    parser->syntax = message_syntax_create(of_responses);
     http_parser_init(&parser->http,
                      of_responses ? HTTP_RESPONSE : HTTP_REQUEST);
     parser->http.data = parser;
@@ -287,17 +285,6 @@
     }
 }
 
-static enum message_syntax_result
-check_syntax(struct message_parser *parser, const uint8_t *bytes, size_t count,
-             size_t *valid)
-{
-    if (parser->syntax != NULL) {
-        return message_syntax_check(parser->syntax, bytes, count, valid);
-    }
-    *valid = count;
-    return MESSAGE_SYNTAX_VALID;
-}
-
 enum message_parser_result
 message_parser_parse(struct message_parser *parser, const uint8_t *bytes,
                      size_t count, size_t *parsed)
@@ -308,8 +295,8 @@
         const uint8_t *rest = bytes + *parsed;
         size_t executed = 0;
         size_t valid;
-        enum message_syntax_result syntax =
-            check_syntax(parser, rest, count - *parsed, &valid);
+        enum message_syntax_result syntax = message_syntax_check(
+            parser->syntax, rest, count - *parsed, &valid);
 
         if (valid > 0) {
             result = execute(parser, rest, valid, &executed);
--- a/tests/syntax_runner.c
+++ b/tests/syntax_runner.c
@@ -22,6 +22,13 @@
     BYTES = 256,
 };
 
+/* What the texts are. */
+enum kind {
+    KIND_RESPONSES,
+    KIND_REQUESTS,
+    KIND_CHUNKS,
+};
+
 static const char *const result_texts[] = {
     [MESSAGE_SYNTAX_VALID] = "valid",
     [MESSAGE_SYNTAX_END] = "end",
@@ -30,13 +37,14 @@
 
 /* Returns the last result, and the number of valid bytes up to there. */
 static enum message_syntax_result
-check_in_pieces(const GString *text, bool chunks, size_t piece_bytes,
+check_in_pieces(const GString *text, enum kind kind, size_t piece_bytes,
                 size_t *total)
 {
-    struct message_syntax *syntax = message_syntax_create();
+    struct message_syntax *syntax =
+        message_syntax_create(kind != KIND_REQUESTS);
     enum message_syntax_result result = MESSAGE_SYNTAX_VALID;
 
-    if (chunks) {
+    if (kind == KIND_CHUNKS) {
         message_syntax_begin_chunks(syntax);
     }
     *total = 0;
@@ -53,13 +61,13 @@
 }
 
 static enum message_syntax_result
-check(const GString *text, bool chunks, size_t *valid)
+check(const GString *text, enum kind kind, size_t *valid)
 {
     size_t valid_in_pieces;
     enum message_syntax_result result =
-        check_in_pieces(text, chunks, text->len, valid);
+        check_in_pieces(text, kind, text->len, valid);
 
-    if (check_in_pieces(text, chunks, 1, &valid_in_pieces) != result ||
+    if (check_in_pieces(text, kind, 1, &valid_in_pieces) != result ||
         valid_in_pieces != *valid) {
         script_error("another result byte by byte");
     }
@@ -67,27 +75,27 @@
 }
 
 static void
-print_check(const GString *text, bool chunks, const char *escaped)
+print_check(const GString *text, enum kind kind, const char *escaped)
 {
     size_t valid;
-    enum message_syntax_result result = check(text, chunks, &valid);
+    enum message_syntax_result result = check(text, kind, &valid);
 
     printf("%s at %zu of %zu: %s\n", result_texts[result], valid, text->len,
            escaped);
 }
 
 static bool
-is_valid_with(GString *text, bool chunks, size_t at, int byte)
+is_valid_with(GString *text, enum kind kind, size_t at, int byte)
 {
     size_t valid;
 
     text->str[at] = (char)byte;
-    return check(text, chunks, &valid) != MESSAGE_SYNTAX_INVALID;
+    return check(text, kind, &valid) != MESSAGE_SYNTAX_INVALID;
 }
 
 /* Prints the valid bytes as ranges of hexadecimal numbers. */
 static void
-print_scan(GString *text, bool chunks, const char *escaped)
+print_scan(GString *text, enum kind kind, const char *escaped)
 {
     const char *mark = strchr(text->str, '@');
     size_t at;
@@ -100,10 +108,10 @@
     for (int first = 0; first < BYTES; first++) {
         int last = first;
 
-        if (!is_valid_with(text, chunks, at, first)) {
+        if (!is_valid_with(text, kind, at, first)) {
             continue;
         }
-        while (last + 1 < BYTES && is_valid_with(text, chunks, at, last + 1)) {
+        while (last + 1 < BYTES && is_valid_with(text, kind, at, last + 1)) {
             last++;
         }
         printf(first < last ? " %02x-%02x" : " %02x", (unsigned)first,
@@ -116,19 +124,22 @@
 static void
 run_line(void *data, char *const *words)
 {
-    bool *chunks = data;
+    enum kind *kind = data;
     char *escaped = g_strjoinv(" ", (char **)words + 1);
     char *plain = g_strcompress(escaped);
     GString *text = g_string_new(plain);
 
-    if (strcmp(words[0], "chunks") == 0) {
-        *chunks = true;
+    if (strcmp(words[0], "requests") == 0) {
+        *kind = KIND_REQUESTS;
+    }
+    else if (strcmp(words[0], "chunks") == 0) {
+        *kind = KIND_CHUNKS;
     }
     else if (strcmp(words[0], "check") == 0) {
-        print_check(text, *chunks, escaped);
+        print_check(text, *kind, escaped);
     }
     else if (strcmp(words[0], "scan") == 0) {
-        print_scan(text, *chunks, escaped);
+        print_scan(text, *kind, escaped);
     }
     else {
         script_error(words[0]);
@@ -141,8 +152,8 @@
 int
 main(int argc, char **argv)
 {
-    bool chunks = false;
+    enum kind kind = KIND_RESPONSES;
 
-    script_run(argc, argv, run_line, &chunks);
+    script_run(argc, argv, run_line, &kind);
     return EXIT_SUCCESS;
 }
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -518,6 +518,33 @@
     destroy_fixture(fixture);
 }
 
+/* A line that the gateway's parser takes for a header of the connection and
+   relays under its odd name (request smuggling), and lines whose end is
+   elsewhere for others. */
+static void
+test_invalid_headers_are_refused(void)
+{
+    static const char *const heads[] = {
+        "Transfer-Encoding : chunked\r\n\r\n5\r\nabcde\r\n0\r\n\r\n",
+        "Content-Length : 0\r\n\r\n",
+        " Content-Length: 0\r\n\r\n",
+        "A b: c\r\n\r\n",
+        "A: b\r\n Transfer-Encoding: chunked\r\n\r\n",
+        "A: b\r\n\rC: d\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+        struct fixture *fixture = create_fixture();
+
+        send_text(fixture, "POST /a HTTP/1.1\r\nHost: a\r\n");
+        send_text(fixture, heads[i]);
+        run_until(fixture, "HTTP/1.1 400 ");
+        g_assert_cmpuint(fixture->requests, ==, 0);
+        destroy_fixture(fixture);
+    }
+}
+
 static void
 on_send_timer(void *data, uint64_t now_ms)
 {
@@ -789,6 +816,8 @@
     g_test_add_func("/callers/no-memory", test_bodies_without_memory);
     g_test_add_func("/callers/bad-bytes", test_bad_bytes);
     g_test_add_func("/callers/two-lengths", test_two_body_lengths_are_refused);
+    g_test_add_func("/callers/invalid-headers",
+                    test_invalid_headers_are_refused);
     g_test_add_func("/callers/slow-bodies", test_slow_bodies);
     g_test_add_func("/callers/slow-reader", test_slow_reader);
     g_test_add_func("/callers/longest-idle", test_longest_idle_makes_room);
