Responses without end: entry and agent keep a bounded amount of all together

Reported by other operators: a faulty worker sent bytes without end until the caller closed, and the machine that had called it kept them all and ran out of memory.

Cause: the entry collected up to 8 MiB of each response that is not streamed, held them until the time limit, and counted them nowhere. The agent read such a response, if the request may run once only, as fast as it came, handed up to 8 MiB beyond what the entry had taken to its loop, and kept the whole as long as the record of the request, a minute, also when it had failed.

Change: collected responses of an entry have a bound, as large as that of request bodies (body_memory), and a request whose response exceeds it, or 8 MiB, ends at once. An agent keeps 8 MiB of a response that may run once only, which is what an entry takes, and body_memory of all in progress; more fails the call. It reads no more than a window ahead of its own loop, and drops the body of a failed response: who asks again with the same key gets the failure.

Remains: whole responses of requests that may run once only are kept for a minute each, as before.

--- a/agent/endpoint_calls.c
+++ b/agent/endpoint_calls.c
@@ -19,12 +19,14 @@
 enum {
     MAX_CALL_THREADS = 1024,
     MAX_STOP_THREADS = 8,
-    /* Flow control: a call stops reading while the entry has more response
-       bytes than this left to consume. */
+    /* Flow control: a call stops reading while more response bytes than this
+       are left to consume: for the entry, or for the agent's loop if the call
+       can't be repeated, since that reads on without an entry. */
     WINDOW_BYTES = 256 * 1024,
-    /* The same for a call that can't be repeated. The agent keeps its whole
-       response, which later requests with the same idempotency key read. */
-    UNREPEATABLE_WINDOW_BYTES = 8 * 1024 * 1024,
+    /* Largest response of a call that can't be repeated: an entry takes no
+       more. The agent keeps it whole, since later requests with the same
+       idempotency key read it. */
+    MAX_KEPT_RESPONSE_BYTES = 8 * 1024 * 1024,
     CONNECT_TIMEOUT_S = 2,
     MS_PER_S = 1000,
     STOP_TIMEOUT_S = 2,
@@ -46,6 +48,8 @@
     struct worker_pool *call_pool;
     struct worker_pool *stop_pool;
     pthread_mutex_t lock;
+    uint64_t max_kept_bytes;
+    uint64_t kept_bytes; /* of calls that can't be repeated; guarded by lock */
     GQueue idle_sessions; /* struct http_session, connections kept open;
                              guarded by lock */
 };
@@ -75,6 +79,8 @@
     pthread_cond_t changed;  /* stopped or consumed_bytes */
     uint64_t received_bytes; /* guarded by lock */
     uint64_t consumed_bytes; /* guarded by lock */
+    uint64_t kept_bytes;     /* of calls->kept_bytes; the call's thread only */
+    uint64_t delivered_bytes; /* to the handlers; loop thread only */
 
     bool is_event_stream;
     char tail[TAIL_BYTES]; /* last bytes of an event stream so far */
@@ -100,6 +106,7 @@
 
 struct endpoint_calls *
 endpoint_calls_create(struct loop *loop, const char *ip, uint16_t port,
+                      uint64_t max_kept_bytes,
                       const struct endpoint_calls_handlers *handlers,
                       void *data)
 {
@@ -108,6 +115,7 @@
     calls->loop = loop;
     calls->ip = g_strdup(ip);
     calls->port = port;
+    calls->max_kept_bytes = max_kept_bytes;
     calls->handlers = *handlers;
     calls->data = data;
     calls->call_pool = worker_pool_create(MAX_CALL_THREADS);
@@ -128,6 +136,17 @@
     g_free(call);
 }
 
+static void
+record_consumed(struct call *call, uint64_t offset)
+{
+    pthread_mutex_lock(&call->lock);
+    if (offset > call->consumed_bytes) {
+        call->consumed_bytes = MIN(offset, call->received_bytes);
+    }
+    pthread_cond_signal(&call->changed);
+    pthread_mutex_unlock(&call->lock);
+}
+
 static void
 deliver_event(void *data, uint64_t now_ms)
 {
@@ -143,6 +162,10 @@
     case EVENT_BYTES:
         calls->handlers.bytes(calls->data, call->work, event->bytes,
                               event->count, now_ms);
+        call->delivered_bytes += event->count;
+        if (!call->repeatable) {
+            record_consumed(call, call->delivered_bytes);
+        }
         break;
     case EVENT_FINISHED:
         work_set_user_data(call->work, NULL);
@@ -194,15 +217,50 @@
     call->tail_bytes = kept + count;
 }
 
+/* Returns whether the agent can keep so many bytes more. */
 static bool
-wait_for_window(struct call *call, size_t count)
+keep_bytes(struct call *call, size_t count)
 {
-    uint64_t window =
-        call->repeatable ? WINDOW_BYTES : UNREPEATABLE_WINDOW_BYTES;
+    struct endpoint_calls *calls = call->calls;
+    bool fits;
+
+    if (call->repeatable) {
+        return true;
+    }
+    pthread_mutex_lock(&calls->lock);
+    fits = call->kept_bytes + count <= MAX_KEPT_RESPONSE_BYTES &&
+           calls->kept_bytes + count <= calls->max_kept_bytes;
+    if (fits) {
+        call->kept_bytes += count;
+        calls->kept_bytes += count;
+    }
+    pthread_mutex_unlock(&calls->lock);
+    return fits;
+}
+
+static void
+release_kept_bytes(struct call *call)
+{
+    struct endpoint_calls *calls = call->calls;
 
+    pthread_mutex_lock(&calls->lock);
+    calls->kept_bytes -= call->kept_bytes;
+    pthread_mutex_unlock(&calls->lock);
+}
+
+static void
+count_received(struct call *call, size_t count)
+{
     pthread_mutex_lock(&call->lock);
     call->received_bytes += count;
-    while (call->received_bytes - call->consumed_bytes > window &&
+    pthread_mutex_unlock(&call->lock);
+}
+
+static bool
+wait_for_window(struct call *call)
+{
+    pthread_mutex_lock(&call->lock);
+    while (call->received_bytes - call->consumed_bytes > WINDOW_BYTES &&
            !atomic_load(&call->stopped)) {
         pthread_cond_wait(&call->changed, &call->lock);
     }
@@ -215,13 +273,19 @@
 {
     struct call *call = context;
 
+    if (!keep_bytes(call, count)) {
+        LOG_WARN("response is too large to be kept",
+                 "request=%s bytes=%" PRIu64, call->id, call->kept_bytes);
+        return false;
+    }
     if (call->is_event_stream) {
         append_to_tail(call, bytes, count);
     }
+    count_received(call, count);
     post_event(call, (struct event){.kind = EVENT_BYTES,
                                     .bytes = g_memdup2(bytes, count),
                                     .count = count});
-    return wait_for_window(call, count);
+    return wait_for_window(call);
 }
 
 /* A complete event stream ends with its end marker. */
@@ -318,6 +382,7 @@
                  call->id, error->message);
     }
     give_session_back(calls, session, call->repeatable);
+    release_kept_bytes(call);
     atomic_store(&call->ended, true);
     post_event(call, result_event(call, ok, error));
     g_clear_error(&error);
@@ -409,13 +474,7 @@
 {
     struct call *call = work_user_data(work);
 
-    if (call == NULL) {
-        return;
-    }
-    pthread_mutex_lock(&call->lock);
-    if (offset > call->consumed_bytes) {
-        call->consumed_bytes = MIN(offset, call->received_bytes);
+    if (call != NULL && call->repeatable) {
+        record_consumed(call, offset);
     }
-    pthread_cond_signal(&call->changed);
-    pthread_mutex_unlock(&call->lock);
 }
--- a/agent/endpoint_calls.h
+++ b/agent/endpoint_calls.h
@@ -27,10 +27,11 @@
                      enum reason reason, uint64_t now_ms);
 };
 
-struct endpoint_calls *
-endpoint_calls_create(struct loop *loop, const char *ip, uint16_t port,
-                      const struct endpoint_calls_handlers *handlers,
-                      void *data);
+/* max_kept_bytes: of the responses in progress that can't be repeated, which
+   the agent keeps whole. A call that exceeds it fails. */
+struct endpoint_calls *endpoint_calls_create(
+    struct loop *loop, const char *ip, uint16_t port, uint64_t max_kept_bytes,
+    const struct endpoint_calls_handlers *handlers, void *data);
 
 /* Starts the call for the work. The work, its body and texts must stay valid
    until finished is called. */
--- a/agent/main.c
+++ b/agent/main.c
@@ -385,7 +385,8 @@
 
     agent->calls = endpoint_calls_create(
         agent->loop, agent->settings.endpoint.ip,
-        agent->settings.endpoint.port, &call_handlers, agent);
+        agent->settings.endpoint.port, agent->settings.body_memory_bytes,
+        &call_handlers, agent);
     agent->health = health_start(agent->loop, &target, on_health, agent);
     platform_watch_config(agent->loop, &platform, needs_platform, on_config,
                           agent);
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -266,6 +266,11 @@
                         reason == REASON_NONE ? 0 : MIN_RETRY_AFTER_MS);
     response_buffer_end_message(work->response, &end);
     send_to_links(dispatch, work, &end);
+    /* Kept as long as the record, for requests with the same key, which need
+       only the failure. */
+    if (!work->repeatable && reason != REASON_NONE) {
+        response_buffer_discard(work->response);
+    }
     if (!work->at_endpoint) {
         work_free_request(work);
     }
--- a/core/response_buffer.c
+++ b/core/response_buffer.c
@@ -19,6 +19,7 @@
     enum outcome outcome;
     enum reason reason;
     uint32_t retry_after_ms;
+    bool discarded; /* the body, since the response has failed */
 };
 
 struct response_buffer *
@@ -73,6 +74,16 @@
     buffer->retry_after_ms = retry_after_ms;
 }
 
+void
+response_buffer_discard(struct response_buffer *buffer)
+{
+    g_assert(buffer->ended && buffer->reason != REASON_NONE);
+    buffer->consumed_bytes = response_buffer_produced_bytes(buffer);
+    g_byte_array_unref(buffer->bytes);
+    buffer->bytes = g_byte_array_new();
+    buffer->discarded = true;
+}
+
 uint64_t
 response_buffer_produced_bytes(const struct response_buffer *buffer)
 {
@@ -130,11 +141,25 @@
     }
 }
 
+static void
+replay_end(const struct response_buffer *buffer,
+           void (*send)(void *context, struct message *message), void *context)
+{
+    struct message end = {0};
+
+    response_buffer_end_message(buffer, &end);
+    send(context, &end);
+}
+
 bool
 response_buffer_replay(const struct response_buffer *buffer, uint64_t offset,
                        void (*send)(void *context, struct message *message),
                        void *context)
 {
+    if (buffer->discarded) {
+        replay_end(buffer, send, context);
+        return true;
+    }
     if (offset < buffer->consumed_bytes ||
         offset > response_buffer_produced_bytes(buffer)) {
         return false;
@@ -147,10 +172,7 @@
     }
     replay_bytes(buffer, offset, send, context);
     if (buffer->ended) {
-        struct message end = {0};
-
-        response_buffer_end_message(buffer, &end);
-        send(context, &end);
+        replay_end(buffer, send, context);
     }
     return true;
 }
--- a/core/response_buffer.h
+++ b/core/response_buffer.h
@@ -29,6 +29,10 @@
 void response_buffer_end(struct response_buffer *buffer, enum outcome outcome,
                          enum reason reason, uint32_t retry_after_ms);
 
+/* Frees the body of a response that has ended with a failure. Only the end is
+   replayed from then on, from any offset. */
+void response_buffer_discard(struct response_buffer *buffer);
+
 /* Frees the bytes before an offset up to which the entry has consumed the
    response. An offset that was not produced yet, or that was consumed before,
    is ignored. */
--- a/entry/front.c
+++ b/entry/front.c
@@ -39,6 +39,7 @@
     struct lingering *lingering; /* sockets with unread bodies */
     bool run_posted;
     uint64_t body_memory_used; /* bytes, of all exchanges */
+    uint64_t response_memory_used;
     uint32_t open_exchanges;
 };
 
@@ -71,7 +72,8 @@
     char *target;
     GByteArray *body;
     uint64_t reserved_bytes; /* of body_memory_used */
-    GArray *headers;         /* struct response_header */
+    uint64_t response_reserved_bytes;
+    GArray *headers; /* struct response_header */
     uint32_t status;
     char *content_type;
     GByteArray *response_body; /* complete, or unsent bytes of a stream */
@@ -328,6 +330,20 @@
     return true;
 }
 
+bool
+exchange_reserve_response(struct exchange *exchange, uint64_t bytes)
+{
+    struct front *front = exchange->front;
+
+    if (bytes >
+        front->settings.body_memory_bytes - front->response_memory_used) {
+        return false;
+    }
+    front->response_memory_used += bytes;
+    exchange->response_reserved_bytes += bytes;
+    return true;
+}
+
 static void
 refuse(struct exchange *exchange, uint32_t status, const char *message,
        uint32_t retry_after_ms)
@@ -450,6 +466,7 @@
         g_byte_array_unref(exchange->response_body);
     }
     exchange->front->body_memory_used -= exchange->reserved_bytes;
+    exchange->front->response_memory_used -= exchange->response_reserved_bytes;
     g_free(exchange->content_type);
     g_free(exchange->method);
     g_free(exchange->path);
--- a/entry/front.h
+++ b/entry/front.h
@@ -19,8 +19,9 @@
 struct front_settings {
     const char *ip;
     uint16_t port;
-    uint64_t max_body_bytes;    /* of one request */
-    uint64_t body_memory_bytes; /* bodies of all requests together */
+    uint64_t max_body_bytes; /* of one request */
+    /* Bodies of all requests together, and as much again of responses. */
+    uint64_t body_memory_bytes;
     uint32_t max_connections;
     uint32_t idle_s; /* timeout of connections without traffic */
 };
@@ -73,6 +74,11 @@
    against body_memory_bytes until the exchange ends. */
 struct _GBytes *exchange_take_body(struct exchange *exchange);
 
+/* Counts memory for the collected body of a response until the exchange ends.
+   Returns false if that of all responses together would exceed
+   body_memory_bytes. */
+bool exchange_reserve_response(struct exchange *exchange, uint64_t bytes);
+
 /* A pointer that the user of the exchange keeps in it; NULL at first. */
 void exchange_set_owner(struct exchange *exchange, void *owner);
 void *exchange_owner(const struct exchange *exchange);
--- a/entry/request.c
+++ b/entry/request.c
@@ -515,12 +515,6 @@
     return request->own_id;
 }
 
-uint64_t
-request_received_bytes(const struct request *request)
-{
-    return binding_received_bytes(request->binding);
-}
-
 uint64_t
 request_agent_incarnation(const struct request *request, uint32_t node)
 {
--- a/entry/request.h
+++ b/entry/request.h
@@ -99,8 +99,6 @@
 /* Id under which this request reserves; it stays the same after
    request_join(). */
 struct request_id request_own_id(const struct request *request);
-/* Bytes of the response body received so far. */
-uint64_t request_received_bytes(const struct request *request);
 /* Incarnation of the node's agent; 0 if the link to it is down. */
 uint64_t request_agent_incarnation(const struct request *request,
                                    uint32_t node);
--- a/entry/session.c
+++ b/entry/session.c
@@ -272,51 +272,93 @@
 }
 
 static void
-on_bytes(void *data, const uint8_t *bytes, size_t count)
+release_group(void *data, uint64_t now_ms)
 {
     struct session *session = data;
 
-    if (session->streamed) {
-        stream_bytes(session, bytes, count);
-        return;
+    (void)now_ms;
+    g_clear_pointer(&session->group, group_destroy);
+    session_complete_call(session);
+}
+
+/* Destroys the group from the loop, since the current call may come from one
+   of its holds. */
+static void
+post_release_group(struct session *session)
+{
+    if (session->group != NULL) {
+        session->pending_calls++;
+        loop_post(session->sessions->loop, release_group, session);
     }
-    if (session->response_body->len == 0) {
-        record_first_bytes(session);
+}
+
+static bool
+reserve_response(struct session *session, uint64_t bytes)
+{
+    if (bytes > MAX_BUFFERED_RESPONSE_BYTES) {
+        return false;
     }
-    if (session->response_body->len + count <= MAX_BUFFERED_RESPONSE_BYTES) {
-        g_byte_array_append(session->response_body, bytes, (guint)count);
-        request_consumed(session->request, session->response_body->len);
+    if (bytes > session->reserved_bytes) {
+        if (session->exchange == NULL ||
+            !exchange_reserve_response(session->exchange,
+                                       bytes - session->reserved_bytes)) {
+            return false;
+        }
+        session->reserved_bytes = bytes;
     }
+    return true;
 }
 
+/* Ends the request from the loop, since its handlers must not. The rest of its
+   response would come until the time limit. */
 static void
-on_restart(void *data)
+end_too_large(void *data, uint64_t now_ms)
 {
+    static const struct binding_result result = {.outcome = OUTCOME_RAN,
+                                                 .reason = REASON_TOO_LARGE};
     struct session *session = data;
 
-    g_byte_array_set_size(session->response_body, 0);
-    session->status = 0;
+    (void)now_ms;
+    if (!session_complete_call(session) || session->responded) {
+        return;
+    }
+    request_abandon(session->request);
+    respond_failure(session, &result);
+    post_release_group(session);
 }
 
 static void
-release_group(void *data, uint64_t now_ms)
+on_bytes(void *data, const uint8_t *bytes, size_t count)
 {
     struct session *session = data;
 
-    (void)now_ms;
-    g_clear_pointer(&session->group, group_destroy);
-    session_complete_call(session);
+    if (session->streamed) {
+        stream_bytes(session, bytes, count);
+        return;
+    }
+    if (session->too_large) {
+        return;
+    }
+    if (session->response_body->len == 0) {
+        record_first_bytes(session);
+    }
+    if (!reserve_response(session, session->response_body->len + count)) {
+        session->too_large = true;
+        session->pending_calls++;
+        loop_post(session->sessions->loop, end_too_large, session);
+        return;
+    }
+    g_byte_array_append(session->response_body, bytes, (guint)count);
+    request_consumed(session->request, session->response_body->len);
 }
 
-/* Destroys the group from the loop, since the current call may come from one
-   of its holds. */
 static void
-post_release_group(struct session *session)
+on_restart(void *data)
 {
-    if (session->group != NULL) {
-        session->pending_calls++;
-        loop_post(session->sessions->loop, release_group, session);
-    }
+    struct session *session = data;
+
+    g_byte_array_set_size(session->response_body, 0);
+    session->status = 0;
 }
 
 static void
@@ -325,10 +367,7 @@
     struct session *session = data;
     struct binding_result checked = *result;
 
-    /* on_bytes() has dropped what exceeds MAX_BUFFERED_RESPONSE_BYTES. */
-    if (result->complete && !session->streaming &&
-        request_received_bytes(session->request) !=
-            session->response_body->len) {
+    if (result->complete && session->too_large) {
         checked.complete = false;
         checked.reason = REASON_TOO_LARGE;
     }
--- a/entry/session_state.h
+++ b/entry/session_state.h
@@ -69,6 +69,8 @@
     uint32_t status;
     char content_type[MESSAGE_NAME_BYTES];
     GByteArray *response_body; /* buffered, unless streamed */
+    uint64_t reserved_bytes;   /* for response_body */
+    bool too_large;            /* the rest of the response is dropped */
     bool streaming;            /* the head has been sent to the caller */
 };
 
--- a/tests/ablate.sh
+++ b/tests/ablate.sh
@@ -11,7 +11,7 @@
 targets="session_runner placement_runner quarantine_runner limit_runner syntax_runner test_admission test_drain_admission test_directory test_directory_eras test_era_change test_config_reader test_config_copy test_gateway_core test_availability test_outage test_room test_explain \
     test_callers test_dispatch_random test_binding_random \
     test_binding test_message test_store_answers test_store_follow test_followers \
-    test_upstreams test_send_queue test_buffer_budget test_link test_front test_numbers test_peer_progress test_response_framing test_cut_heads test_broken_answers test_odd_entries \
+    test_upstreams test_send_queue test_buffer_budget test_link test_front test_numbers test_peer_progress test_response_framing test_cut_heads test_broken_answers test_response_buffer test_odd_entries \
     test_http_call test_agents test_log test_config"
 # targets_of TESTS: tests on real processes need the programs that they run.
 gateway_programs="dandelionfork-gateway dandelionfork fake_users_store fake_worker fake_endless slow_callers"
--- a/tests/fakes/fake_endless.c
+++ b/tests/fakes/fake_endless.c
@@ -1,8 +1,9 @@
 /* Fake of a server in trouble: for each request it sends the beginning of a
    response and then bytes without end, until the caller closes, or resets the
    connection. --mode N selects what they are (see modes), --pause N sends them
-   byte by byte with so many milliseconds between. It serves one connection at
-   a time, and prints the mode of each response that the caller has ended. */
+   byte by byte with so many milliseconds between. It prints the mode of each
+   response that the caller has ended. Health checks of agents get a valid
+   response: GET /health, and GET /v1/streams, which it does not have. */
 
 #include <arpa/inet.h>
 #include <glib.h>
@@ -70,6 +71,19 @@
     return pause_ms > 0 || send(fd, text, count, MSG_NOSIGNAL) >= 0;
 }
 
+/* Returns NULL for other requests. */
+static const char *
+health_response(const char *head)
+{
+    if (g_str_has_prefix(head, "GET /health ")) {
+        return STATUS_LINE "Content-Length: 0\r\n\r\n";
+    }
+    if (g_str_has_prefix(head, "GET /v1/streams ")) {
+        return "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+    }
+    return NULL;
+}
+
 static bool
 read_head(int fd, char *head, size_t size)
 {
@@ -114,7 +128,7 @@
 static void
 answer(int fd, const struct mode *mode, uint64_t pause_ms)
 {
-    static char head[MAX_REQUEST_BYTES];
+    char head[MAX_REQUEST_BYTES];
     const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
     char *beginning;
     bool open;
@@ -122,6 +136,10 @@
     if (!read_head(fd, head, sizeof(head))) {
         return;
     }
+    if (health_response(head) != NULL) {
+        send_text(fd, health_response(head), 0);
+        return;
+    }
     beginning = make_beginning(mode, head);
     open = send_text(fd, beginning, 0);
     if (mode->unit == NULL) {
@@ -137,6 +155,37 @@
     fflush(stdout);
 }
 
+struct connection {
+    int fd;
+    const struct mode *mode;
+    uint64_t pause_ms;
+};
+
+static void *
+serve(void *data)
+{
+    struct connection *connection = data;
+
+    answer(connection->fd, connection->mode, connection->pause_ms);
+    close(connection->fd);
+    g_free(connection);
+    return NULL;
+}
+
+static void
+start_serving(const struct connection *connection)
+{
+    struct connection *copy = g_memdup2(connection, sizeof(*connection));
+    pthread_t thread;
+
+    if (pthread_create(&thread, NULL, serve, copy) != 0) {
+        close(copy->fd);
+        g_free(copy);
+        return;
+    }
+    pthread_detach(thread);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -165,8 +214,8 @@
         int fd = accept(listener, NULL, NULL);
 
         if (fd >= 0) {
-            answer(fd, &modes[values[0]], values[1]);
-            close(fd);
+            start_serving(&(struct connection){
+                .fd = fd, .mode = &modes[values[0]], .pause_ms = values[1]});
         }
     }
 }
