Requests: a transfer coding that is not decoded is refused

The other side of the check of responses: of a request with "Transfer-Encoding: gzip, chunked", endpoints got the coded body without the header that says so. The same check applies to requests now, which get 400.

test_callers failed before with that head (the request was accepted) and passes now; all 184 tests of the plain build pass.

--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -171,8 +171,7 @@
         return fail(parser, MESSAGE_PARSER_TOO_LONG);
     }
     fill_head(parser, &head);
-    if (parser->of_responses && !skips_body(parser) &&
-        !has_known_coding(&head)) {
+    if (!skips_body(parser) && !has_known_coding(&head)) {
         return fail(parser, MESSAGE_PARSER_INVALID);
     }
     if (!parser->handlers.head(parser->data, &head)) {
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -532,6 +532,7 @@
         "A: b\r\n Transfer-Encoding: chunked\r\n\r\n",
         "A: b\r\n\rC: d\r\n\r\n",
         "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX0\r\n\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
