--- a/core/message_syntax.c
+++ b/core/message_syntax.c
@@ -7,7 +7,7 @@
 enum state {
     STATE_START, /* blank lines before a message are skipped */
     STATE_REQUEST_LINE,
-    STATE_VERSION, /* of a response, and the status */
+    STATE_STATUS_LINE, /* up to the status */
     STATE_REASON,
     STATE_LINE_START, /* of a header or the blank line */
     STATE_NAME,
@@ -28,13 +28,14 @@
 
 enum {
     HEXADECIMAL = 16,
+    DELETE = 0x7f,
 };
 
 struct message_syntax {
     bool of_responses;
     enum state state;
-    uint64_t chunk_bytes; /* that are still due */
-    size_t version_bytes; /* of the status line, up to the status */
+    uint64_t chunk_bytes;     /* that are still due */
+    size_t status_line_bytes; /* up to the status */
 };
 
 /* The beginning of a status line: d is a digit, s the class of a status. */
@@ -59,7 +60,7 @@
 message_syntax_begin(struct message_syntax *syntax)
 {
     syntax->state = STATE_START;
-    syntax->version_bytes = 0;
+    syntax->status_line_bytes = 0;
 }
 
 void
@@ -81,15 +82,15 @@
 static bool
 is_text_byte(uint8_t byte)
 {
-    return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+    return byte == '\t' || (byte >= ' ' && byte != DELETE);
 }
 
 static enum state
-next_in_version(struct message_syntax *syntax, uint8_t byte)
+next_in_status_line(struct message_syntax *syntax, uint8_t byte)
 {
-    char expected = status_line[syntax->version_bytes];
+    char expected = status_line[syntax->status_line_bytes];
 
-    syntax->version_bytes++;
+    syntax->status_line_bytes++;
     switch (expected) {
     case '\0':
         if (byte == '\r') {
@@ -97,11 +98,11 @@
         }
         return byte == ' ' ? STATE_REASON : STATE_INVALID;
     case 'd':
-        return g_ascii_isdigit(byte) ? STATE_VERSION : STATE_INVALID;
+        return g_ascii_isdigit(byte) ? STATE_STATUS_LINE : STATE_INVALID;
     case 's':
-        return byte >= '1' && byte <= '5' ? STATE_VERSION : STATE_INVALID;
+        return byte >= '1' && byte <= '5' ? STATE_STATUS_LINE : STATE_INVALID;
     default:
-        return byte == (uint8_t)expected ? STATE_VERSION : STATE_INVALID;
+        return byte == (uint8_t)expected ? STATE_STATUS_LINE : STATE_INVALID;
     }
 }
 
@@ -177,7 +178,7 @@
     if (byte == '\r' || byte == '\n') {
         return STATE_START;
     }
-    return syntax->of_responses ? next_in_version(syntax, byte)
+    return syntax->of_responses ? next_in_status_line(syntax, byte)
                                 : STATE_REQUEST_LINE;
 }
 
@@ -216,8 +217,8 @@
         return next_in_start(syntax, byte);
     case STATE_REQUEST_LINE:
         return next_in_request_line(byte);
-    case STATE_VERSION:
-        return next_in_version(syntax, byte);
+    case STATE_STATUS_LINE:
+        return next_in_status_line(syntax, byte);
     case STATE_VALUE:
         if (byte == '\n' && !syntax->of_responses) {
             return STATE_LINE_START;
