--- a/core/message_syntax.c
+++ b/core/message_syntax.c
@@ -38,7 +38,8 @@
     size_t status_line_bytes; /* up to the status */
 };
 
-/* The beginning of a status line: d is a digit, s the class of a status. */
+/* The beginning of a status line: d is a digit, s the class of a status, which
+   is from 100 to 599 (RFC 9110, section 15). */
 static const char status_line[] = "HTTP/1.d sdd";
 
 struct message_syntax *
--- a/io/message_parser.c
+++ b/io/message_parser.c
@@ -13,9 +13,6 @@
     /* Informational responses (1xx) before the final one. */
     MAX_INFORMATIONAL = 16,
     MAX_HEADERS = 512,
-    /* RFC 9110, section 15. */
-    MIN_STATUS = 100,
-    MAX_STATUS = 599,
     STATUS_SWITCHING_PROTOCOLS = 101,
 };
 
@@ -105,15 +102,12 @@
            head_reader_count(parser->head) > MAX_HEADERS;
 }
 
-/* http-parser takes any number up to 999. Another protocol is never asked for.
- */
+/* Another protocol is never asked for. */
 static bool
-has_valid_status(const struct message_parser *parser)
+switches_protocol(const struct message_parser *parser)
 {
-    unsigned int status = parser->http.status_code;
-
-    return status >= MIN_STATUS && status <= MAX_STATUS &&
-           status != STATUS_SWITCHING_PROTOCOLS;
+    return parser->of_responses &&
+           parser->http.status_code == STATUS_SWITCHING_PROTOCOLS;
 }
 
 static bool
@@ -157,7 +151,7 @@
     struct http_head head = {0};
 
     parser->in_head = false;
-    if (parser->of_responses && !has_valid_status(parser)) {
+    if (switches_protocol(parser)) {
         return fail(parser, MESSAGE_PARSER_INVALID);
     }
     if (is_informational(parser)) {
